A new leader learns which images machines hold from stored allocs

The alloc of a cancelled service keeps its reservations, so the images that machines were given can be read back at no cost, oldest record first. Images of arrays are not in it, since a finished task leaves its reservation.

--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -228,6 +228,7 @@
       rebuilt = true;
       fence.start(revision);
       users.ready(true);
+      jobs.noteImages(fleet);
       workers.rebuilt();
       fleet.machines().forEach(workers::reconcile);
       LOG.info("rebuilt: {} jobs, {} machines", jobs.size(), fleet.machines().size());
--- a/src/main/java/eiderfork/core/JobBook.java
+++ b/src/main/java/eiderfork/core/JobBook.java
@@ -3,9 +3,11 @@
 import com.google.common.collect.ImmutableList;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
+import eiderfork.model.MachineType;
 import eiderfork.model.Record;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -89,6 +91,26 @@
     }
   }
 
+  /**
+   * Notes which images the machines have been given, in the order in which the jobs were last
+   * written. The alloc record of a cancelled service keeps its reservations, so a new leader knows
+   * more than what runs now: without this, replicas went to machines that had to fetch first.
+   */
+  void noteImages(Fleet fleet) {
+    List<JobEntry> byAge = new ArrayList<>(jobs.values());
+    byAge.sort(Comparator.comparingLong(entry -> entry.allocStamp));
+    for (JobEntry entry : byAge) {
+      for (Record.Span span : entry.committed.reserved()) {
+        MachineEntry m = fleet.get(span.machine());
+        if (m != null && entry.job.image() != null) {
+          MachineType type = fleet.type(m);
+          double cacheGb = type == null ? Double.MAX_VALUE : type.cacheGb();
+          m.touchImage(entry.job.image(), entry.job.imageGb(), cacheGb);
+        }
+      }
+    }
+  }
+
   void markAborted(String uid) {
     JobEntry entry = jobs.get(uid);
     if (entry == null || entry.aborted) {
--- a/src/main/java/eiderfork/core/Workers.java
+++ b/src/main/java/eiderfork/core/Workers.java
@@ -166,6 +166,11 @@
           noteImage(m, p);
           m.fetchedAtMs.put(p.job.job.image(), context.nowMs);
         }
+        if (task.state() == TaskReport.State.FETCHING
+            && !m.fetchedAtMs.containsKey(p.job.job.image())) {
+          m.images.remove(p.job.job.image());
+          noteImage(m, p);
+        }
         p.seen = task.state();
       }
     }
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -126,6 +126,10 @@
     return job(number, kind, tasks, gpus, "blue", Priority.HIGH, false, false);
   }
 
+  static Job job(int number, JobKind kind, int tasks, double gpus, String image) {
+    return job(number, kind, tasks, gpus, "blue", Priority.HIGH, false, false, image);
+  }
+
   static Job job(
       int number,
       JobKind kind,
@@ -135,6 +139,19 @@
       Priority priority,
       boolean spread,
       boolean spot) {
+    return job(number, kind, tasks, gpus, team, priority, spread, spot, "img");
+  }
+
+  private static Job job(
+      int number,
+      JobKind kind,
+      int tasks,
+      double gpus,
+      String team,
+      Priority priority,
+      boolean spread,
+      boolean spot,
+      String image) {
     return new Job(
         "run-%06d".formatted(number),
         kind == JobKind.SERVICE ? "web" : "batch",
@@ -148,7 +165,7 @@
         false,
         spread,
         spot,
-        "img",
+        image,
         1,
         kind == JobKind.SERVICE ? 0 : 4,
         0,
