A denser alloc record: an array of 180 tasks runs all at once on 4 KiB values

Each reservation was counted with 26 bytes, its machine with 16 and its later range with 14, so a job of 180 tasks on values of 4 KiB had at most about 70 to 100 reserved. Reservations now go by attempt and machine as a text of runs, finished tasks as runs or as a bitmap, and AllocSize bounds what that takes however the tasks end. Records of the first form are still read. It is still one write under one condition. Excluded: the team's limit (700 GPUs), stock (free GPUs in both zones), the write rate.

--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -33,13 +33,6 @@
   /** How many report intervals a replica is away while it moves. */
   private static final double MOVE_REPORTS = 2;
 
-  /** Upper bounds, in bytes, of what the parts of an alloc record take when written. */
-  private static final int RECORD_BYTES = 80;
-
-  private static final int SPAN_BYTES = 26;
-  private static final int RANGE_BYTES = 14;
-  private static final int MACHINE_BYTES = 16;
-
   private final Context context;
   private final Term term;
   private final StateGate gate;
@@ -159,13 +152,17 @@
     boolean noRoom = false;
     List<Placed> proposed = new ArrayList<>();
     long attempt = Math.max(entry.lastAttempt, entry.committed.lastAttempt()) + 1;
+    AllocSize size = new AllocSize(entry, attempt);
     for (int index = entry.waiting.nextSetBit(0);
         index >= 0;
         index = entry.waiting.nextSetBit(index + 1)) {
-      if (team == null || !team.withinLimit(used.plus(job.need())) || recordFull(entry)) {
+      if (team == null || !team.withinLimit(used.plus(job.need()))) {
         break;
       }
       MachineEntry m = choose(entry, perZone);
+      if (m != null && !size.takes(m, context.settings.stateLimits().valueKb())) {
+        break;
+      }
       if (m == null || (late(job, m) && waitsForBetter(entry, own, preemption, perZone))) {
         noRoom = m == null;
         break;
@@ -180,6 +177,7 @@
             imageWaitS(job, m));
       }
       proposed.add(jobs.propose(entry, index, attempt, m));
+      size.add(m);
       own.removeIf(claim -> claim.machine == m);
       free.merge(m, job.need(), Resources::minus);
       perZone.merge(m.zone(), 1, Integer::sum);
@@ -278,20 +276,6 @@
     return own;
   }
 
-  /**
-   * Whether one more reservation could make the record too large for a value, now or when tasks end
-   * out of order: each reservation may turn into a range of finished tasks.
-   */
-  private boolean recordFull(JobEntry entry) {
-    int gaps = Math.min(entry.finished.cardinality(), entry.placed.size() + entry.failures) + 1;
-    double bytes =
-        RECORD_BYTES
-            + (entry.placed.size() + 1.0) * (SPAN_BYTES + RANGE_BYTES)
-            + gaps * RANGE_BYTES
-            + Math.min(entry.placed.size() + 1, fleet.machines().size()) * MACHINE_BYTES;
-    return bytes > context.settings.stateLimits().valueKb() * 1024;
-  }
-
   /** The machine for one more task, or null where none fits. */
   private MachineEntry choose(JobEntry entry, Map<String, Integer> perZone) {
     Job job = entry.job;
--- a/src/main/java/eiderfork/wire/Records.java
+++ b/src/main/java/eiderfork/wire/Records.java
@@ -1,13 +1,20 @@
 package eiderfork.wire;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.Longs;
 import eiderfork.core.Keys;
 import eiderfork.model.Record;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /** The values under the keys of the state service. */
 final class Records {
@@ -40,26 +47,74 @@
     return node;
   }
 
-  /** Reservations go by machine, as runs of from, to and attempt, since values are small. */
+  /**
+   * Reservations go by attempt and machine, as a text of tasks and runs of tasks, since values are
+   * small: {@code AllocSize} bounds what this takes. Finished tasks are runs too, or a bitmap where
+   * that is shorter.
+   */
   private static ObjectNode node(Record.Alloc alloc) {
     ObjectNode node = Json.object();
     node.put("last", alloc.lastAttempt());
     if (alloc.done()) {
       node.put("done", true);
     }
-    ObjectNode on = node.putObject("on");
+    Map<Long, Map<String, StringBuilder>> byAttempt = new TreeMap<>();
     for (Record.Span span : alloc.reserved()) {
-      ArrayNode runs =
-          on.get(span.machine()) instanceof ArrayNode known ? known : on.putArray(span.machine());
-      runs.add(span.from()).add(span.to()).add(span.attempt());
+      StringBuilder runs =
+          byAttempt
+              .computeIfAbsent(span.attempt(), a -> new LinkedHashMap<>())
+              .computeIfAbsent(span.machine(), m -> new StringBuilder());
+      addRun(runs, span.from(), span.to());
     }
-    ArrayNode finished = node.putArray("finished");
+    ObjectNode by = node.putObject("by");
+    byAttempt.forEach(
+        (attempt, on) -> {
+          ObjectNode machines = by.putObject(attempt.toString());
+          on.forEach((machine, runs) -> machines.put(machine, runs.toString()));
+        });
+    StringBuilder runs = new StringBuilder();
+    BitSet bits = new BitSet();
     for (Record.Range range : alloc.finished()) {
-      finished.add(range.from()).add(range.to());
+      addRun(runs, range.from(), range.to());
+      bits.set(range.from(), range.to() + 1);
+    }
+    String bitmap = Base64.getEncoder().withoutPadding().encodeToString(bits.toByteArray());
+    if (bitmap.length() < runs.length()) {
+      node.put("endedBits", bitmap);
+    } else {
+      node.put("ended", runs.toString());
     }
     return node;
   }
 
+  private static void addRun(StringBuilder runs, int from, int to) {
+    if (runs.length() > 0) {
+      runs.append(',');
+    }
+    runs.append(from);
+    if (to > from) {
+      runs.append('-').append(to);
+    }
+  }
+
+  private static List<Record.Range> runs(String text) throws BadMessage {
+    List<Record.Range> runs = new ArrayList<>();
+    for (String run : Splitter.on(',').omitEmptyStrings().split(text)) {
+      int dash = run.indexOf('-');
+      try {
+        int from = Integer.parseInt(dash < 0 ? run : run.substring(0, dash));
+        int to = dash < 0 ? from : Integer.parseInt(run.substring(dash + 1));
+        if (from < 0 || to < from) {
+          throw new BadMessage("tasks " + run + " are no run");
+        }
+        runs.add(new Record.Range(from, to));
+      } catch (NumberFormatException e) {
+        throw new BadMessage("tasks " + run + " are no run");
+      }
+    }
+    return runs;
+  }
+
   /** The record under a key, or null where the key or the value is not this version's. */
   static Record record(String key, JsonNode node) throws BadMessage {
     if (key.startsWith(Keys.JOB)) {
@@ -88,30 +143,63 @@
   }
 
   private static Record.Alloc alloc(JsonNode node) throws BadMessage {
-    Map<Integer, Record.Span> spans = new LinkedHashMap<>();
+    List<Record.Span> spans = new ArrayList<>();
+    ImmutableList.Builder<Record.Range> finished = ImmutableList.builder();
+    if (node.has("on")) {
+      readFirstForm(node, spans, finished);
+    } else {
+      for (var by : node.path("by").properties()) {
+        Long attempt = Longs.tryParse(by.getKey());
+        if (attempt == null) {
+          throw new BadMessage("attempt " + by.getKey() + " is no number");
+        }
+        for (var on : by.getValue().properties()) {
+          for (Record.Range run : runs(on.getValue().asText())) {
+            spans.add(new Record.Span(run.from(), run.to(), attempt, on.getKey()));
+          }
+        }
+      }
+      if (node.has("endedBits")) {
+        BitSet bits;
+        try {
+          bits = BitSet.valueOf(Base64.getDecoder().decode(Json.text(node, "endedBits")));
+        } catch (IllegalArgumentException e) {
+          throw new BadMessage("field endedBits is no bitmap");
+        }
+        for (int from = bits.nextSetBit(0); from >= 0; ) {
+          int end = bits.nextClearBit(from);
+          finished.add(new Record.Range(from, end - 1));
+          from = bits.nextSetBit(end);
+        }
+      } else {
+        finished.addAll(runs(Json.text(node, "ended")));
+      }
+    }
+    spans.sort(Comparator.comparingInt(Record.Span::from));
+    return new Record.Alloc(
+        Json.integer(node, "last"),
+        node.path("done").asBoolean(),
+        ImmutableList.copyOf(spans),
+        finished.build());
+  }
+
+  /** The form that 0.1 wrote: numbers from, to and attempt under each machine. */
+  private static void readFirstForm(
+      JsonNode node, List<Record.Span> spans, ImmutableList.Builder<Record.Range> finished) {
     for (var on : node.path("on").properties()) {
       JsonNode runs = on.getValue();
       for (int i = 0; i + 2 < runs.size(); i += 3) {
-        Record.Span span =
+        spans.add(
             new Record.Span(
                 runs.get(i).asInt(),
                 runs.get(i + 1).asInt(),
                 runs.get(i + 2).asLong(),
-                on.getKey());
-        spans.put(span.from(), span);
+                on.getKey()));
       }
     }
-    ImmutableList<Record.Span> ordered =
-        spans.entrySet().stream()
-            .sorted(Map.Entry.comparingByKey())
-            .map(Map.Entry::getValue)
-            .collect(ImmutableList.toImmutableList());
-    ImmutableList.Builder<Record.Range> finished = ImmutableList.builder();
     JsonNode ranges = node.path("finished");
     for (int i = 0; i + 1 < ranges.size(); i += 2) {
       finished.add(new Record.Range(ranges.get(i).asInt(), ranges.get(i + 1).asInt()));
     }
-    return new Record.Alloc(
-        Json.integer(node, "last"), node.path("done").asBoolean(), ordered, finished.build());
   }
 }
--- /dev/null
+++ b/src/test/java/eiderfork/core/AllocSizeTest.java
@@ -0,0 +1,74 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.wire.StateWire;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A record that was let grow never outgrows a value, however the tasks end. */
+class AllocSizeTest {
+  private static final double VALUE_KB = 4;
+
+  @ParameterizedTest
+  @CsvSource({"1,180", "2,180", "3,180", "4,25", "5,2000", "6,40000"})
+  void everyRecordFitsIntoAValue(long seed, int tasks) {
+    Random random = new Random(seed);
+    Job job = World.job(1, JobKind.ARRAY, tasks, 1);
+    JobEntry entry = new JobEntry(job, 1, new Backoff(1, 2));
+    int most = 0;
+    long attempt = 0;
+    while (!entry.allFinished()) {
+      AllocSize size = new AllocSize(entry, ++attempt);
+      for (int index = entry.waiting.nextSetBit(0);
+          index >= 0;
+          index = entry.waiting.nextSetBit(index + 1)) {
+        MachineEntry m = new MachineEntry("n-%06d".formatted(random.nextInt(250)), 0);
+        if (!size.takes(m, VALUE_KB)) {
+          break;
+        }
+        size.add(m);
+        entry.placed.put(index, new Placed(entry, index, attempt, m));
+        entry.waiting.clear(index);
+        entry.lastAttempt = attempt;
+      }
+      assertFits(entry);
+      most = Math.max(most, entry.placed.size());
+      List<Placed> ending = new ArrayList<>(entry.placed.values());
+      assertTrue(!ending.isEmpty(), "something always goes on");
+      java.util.Collections.shuffle(ending, random);
+      int ends = 1 + random.nextInt(ending.size());
+      for (Placed p : ending.subList(0, ends)) {
+        entry.placed.remove(p.index);
+        if (random.nextInt(8) == 0) {
+          entry.waiting.set(p.index);
+        } else {
+          entry.finished.set(p.index);
+        }
+        if (random.nextInt(1 + ends / 4) == 0) {
+          assertFits(entry);
+        }
+      }
+    }
+    // An array of 180 tasks once ran in two waves, since each reservation counted twice over.
+    assertEquals(Math.min(tasks, 180), Math.min(most, 180));
+  }
+
+  private static void assertFits(JobEntry entry) {
+    int bytes = transaction(StateOp.Change.put("k", entry.toRecord()));
+    int around = transaction(StateOp.Change.remove("k"));
+    assertTrue(bytes - around <= VALUE_KB * 1024, () -> bytes - around + " bytes");
+  }
+
+  private static int transaction(StateOp.Change change) {
+    StateOp op = new StateOp.Transact(ImmutableList.of(), ImmutableList.of(change));
+    return StateWire.request(op).body().length;
+  }
+}
--- a/src/test/java/eiderfork/wire/WireTest.java
+++ b/src/test/java/eiderfork/wire/WireTest.java
@@ -183,6 +183,18 @@
     assertEquals(alloc, Records.record("alloc/run-1", Records.node(alloc)));
   }
 
+  @Test
+  void allocsOfTheFirstFormAreStillRead() throws BadMessage {
+    Record.Alloc alloc =
+        new Record.Alloc(
+            7,
+            false,
+            ImmutableList.of(new Record.Span(0, 3, 1, "n-1"), new Record.Span(4, 4, 7, "n-2")),
+            ImmutableList.of(new Record.Range(5, 8)));
+    String stored = "{\"last\":7,\"on\":{\"n-1\":[0,3,1],\"n-2\":[4,4,7]},\"finished\":[5,8]}";
+    assertEquals(alloc, Records.record("alloc/run-1", Json.parse(bytes(stored))));
+  }
+
   @Test
   void tellsNoCapacityFromTrouble() throws BadMessage {
     assertEquals(
