Nodes on their own: submissions are looked up first, polls are bounded, writes are not lost

Cause: where connections between controllers are refused, four of five nodes serve users from the state service. A submission's look-up of its job stood in the queue behind three reads for each poll, and the share of a follower (9 requests a second of 250) was for polls of hundreds of jobs far too small, so submissions and polls waited for seconds in silence. Now look-ups for submissions and cancellations go with their own urgency, a poll that would wait too long is answered 503 with Retry-After at once, followers share half of the request rate, and a write held back by the request rate keeps its write token. Refusals are logged with their reason. Excluded: the write rate (the followers' queue for writes stayed empty), the leader.

--- a/src/main/java/eiderfork/core/StateGate.java
+++ b/src/main/java/eiderfork/core/StateGate.java
@@ -11,8 +11,14 @@
   /** A slow answer takes a few hundred milliseconds; past this share of the lease it is lost. */
   private static final double TIMEOUT_SHARE = 0.15;
 
-  /** The leader's share of the common limits; its peers divide the rest. */
-  private static final double LEADER_SHARE = 0.85;
+  /** The leader's share of the common limit on writes; its peers divide the rest. */
+  private static final double LEADER_WRITES = 0.85;
+
+  /**
+   * The leader's share of the common limit on requests. It answers from memory and needs few; a
+   * peer that can't reach it reads for every poll.
+   */
+  private static final double LEADER_REQUESTS = 0.5;
 
   private record Waiting(StateOp op, int writes, Consumer<Reply> then) {}
 
@@ -37,9 +43,12 @@
   /** Takes the leader's share of the limits, or a follower's. */
   void leading(boolean leading) {
     int followers = Math.max(1, context.settings.peers().size());
-    double share = leading ? LEADER_SHARE : (1 - LEADER_SHARE) / followers;
-    double rps = context.settings.stateLimits().rps() * share;
-    double writeRps = context.settings.stateLimits().writeRps() * share;
+    double rps =
+        context.settings.stateLimits().rps()
+            * (leading ? LEADER_REQUESTS : (1 - LEADER_REQUESTS) / followers);
+    double writeRps =
+        context.settings.stateLimits().writeRps()
+            * (leading ? LEADER_WRITES : (1 - LEADER_WRITES) / followers);
     requests.rate(rps, Math.max(1, rps));
     writes.rate(writeRps, Math.max(1, writeRps));
   }
@@ -60,6 +69,15 @@
     return (long) (1000 * ahead / writes.perS());
   }
 
+  /** How long a request of the least urgency would wait for its turn. */
+  long readWaitMs() {
+    int ahead = 0;
+    for (Queue<Waiting> queue : queues.values()) {
+      ahead += queue.size();
+    }
+    return (long) (1000 * ahead / requests.perS());
+  }
+
   long servedAgeMs() {
     return context.nowMs - lastServedMs;
   }
@@ -71,12 +89,13 @@
         Waiting next = queue.peek();
         boolean lease = entry.getKey() == Urgency.LEASE;
         // A lease renewal goes out whatever the budget says: without the lease nothing else does.
+        if (!lease && !requests.has(1, context.nowMs)) {
+          return;
+        }
         if (!lease && next.writes > 0 && !writes.take(next.writes, context.nowMs)) {
           break;
         }
-        if (!requests.take(1, context.nowMs) && !lease) {
-          return;
-        }
+        requests.take(1, context.nowMs);
         queue.remove();
         queuedWrites[entry.getKey().ordinal()] -= next.writes;
         dispatch(next);
--- a/src/main/java/eiderfork/core/TokenBucket.java
+++ b/src/main/java/eiderfork/core/TokenBucket.java
@@ -24,9 +24,13 @@
     return perS;
   }
 
-  boolean take(double n, long nowMs) {
+  boolean has(double n, long nowMs) {
     refill(nowMs);
-    if (tokens < Math.min(n, burst)) {
+    return tokens >= Math.min(n, burst);
+  }
+
+  boolean take(double n, long nowMs) {
+    if (!has(n, nowMs)) {
       return false;
     }
     tokens -= n;
--- a/src/main/java/eiderfork/core/Users.java
+++ b/src/main/java/eiderfork/core/Users.java
@@ -14,14 +14,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What users ask. The leader answers from memory while its lease surely holds; any other node
  * passes the request to the leader, and acts on the state service itself where that fails.
  */
 final class Users {
-  /** A submission that would wait longer than this share of a lease for its write is refused. */
-  private static final double SUBMIT_WAIT_SHARE = 0.08;
+  private static final Logger LOG = LoggerFactory.getLogger(Users.class);
+
+  /**
+   * A request that would wait longer than this share of a lease for its turn at the state service
+   * is refused at once, with the time after which to come back.
+   */
+  private static final double WAIT_SHARE = 0.08;
 
   /** How long a peer may take over a request passed on, as a share of a lease. */
   private static final double FORWARD_SHARE = 0.05;
@@ -81,6 +88,13 @@
         it -> {
           if (it.job() != null) {
             settled.note(it.job());
+          } else if (!(request instanceof Input.Query) || LOG.isDebugEnabled()) {
+            LOG.info(
+                "{} of {}: {}, {}",
+                request.getClass().getSimpleName(),
+                uid(request),
+                it.status(),
+                it.error());
           }
           asker.accept(it);
         };
@@ -135,9 +149,11 @@
       submitNew(job, answer);
       return;
     }
-    // A known job is never judged again, so it is looked up first.
+    // A known job is never judged again, so it is looked up first; not behind the polls, which
+    // once held submissions up for seconds at nodes that could not reach the leader.
     stored(
         job.uid(),
+        Urgency.SUBMIT,
         status -> {
           if (status == null) {
             answer.accept(unavailable());
@@ -179,6 +195,7 @@
       // Memory may lag behind a peer that took this job; only an unknown job may be refused.
       stored(
           job.uid(),
+          Urgency.SUBMIT,
           status -> {
             if (status == null) {
               answer.accept(unavailable());
@@ -195,10 +212,7 @@
       waiting.add(answer);
       return;
     }
-    long waitMs = gate.waitMs(Urgency.SUBMIT);
-    if (waitMs > context.leaseMs() * SUBMIT_WAIT_SHARE) {
-      answer.accept(
-          UserAnswer.later((int) Math.max(1, Math.ceil(waitMs / 1000.0)), "too many submissions"));
+    if (refusedForWait(gate.waitMs(Urgency.SUBMIT), answer)) {
       return;
     }
     waiting = new ArrayList<>();
@@ -212,6 +226,15 @@
         reply -> submitted(job, reply));
   }
 
+  private boolean refusedForWait(long waitMs, Consumer<UserAnswer> answer) {
+    if (waitMs <= context.leaseMs() * WAIT_SHARE) {
+      return false;
+    }
+    int laterS = (int) Math.max(1, Math.ceil(waitMs / 1000.0));
+    answer.accept(UserAnswer.later(laterS, "too many requests"));
+    return true;
+  }
+
   private void submitted(Job job, Reply reply) {
     List<Consumer<UserAnswer>> waiting = submitting.remove(job.uid());
     if (reply instanceof Reply.Committed committed) {
@@ -226,6 +249,7 @@
     } else if (reply instanceof Reply.Conflict) {
       stored(
           job.uid(),
+          Urgency.SUBMIT,
           status -> {
             UserAnswer said =
                 status == null || status.isEmpty() ? unavailable() : UserAnswer.ok(status.get());
@@ -277,8 +301,12 @@
 
   /** Memory may lag behind a peer that took the job, so only the state service denies one. */
   private void queryStored(String uid, Consumer<UserAnswer> answer) {
+    if (refusedForWait(gate.readWaitMs(), answer)) {
+      return;
+    }
     stored(
         uid,
+        Urgency.READ,
         status -> {
           if (status == null) {
             answer.accept(unavailable());
@@ -291,10 +319,10 @@
   }
 
   /** A job as the state service has it: null where it did not say, empty for no such job. */
-  private void stored(String uid, Consumer<java.util.Optional<JobStatus>> then) {
+  private void stored(String uid, Urgency urgency, Consumer<java.util.Optional<JobStatus>> then) {
     gate.send(
         new StateOp.Get(Keys.job(uid)),
-        Urgency.READ,
+        urgency,
         reply -> {
           if (!(reply instanceof Reply.Value spec)) {
             then.accept(null);
@@ -303,9 +331,11 @@
           } else {
             storedAlloc(
                 it.job(),
+                urgency,
                 (alloc, stamp) ->
                     storedAbort(
                         uid,
+                        urgency,
                         aborted -> {
                           if (alloc == null || aborted == null) {
                             then.accept(null);
@@ -332,10 +362,10 @@
     void take(Record.Alloc alloc, long stamp);
   }
 
-  private void storedAlloc(Job job, AllocTaker then) {
+  private void storedAlloc(Job job, Urgency urgency, AllocTaker then) {
     gate.send(
         new StateOp.Get(Keys.alloc(job.uid())),
-        Urgency.READ,
+        urgency,
         reply -> {
           if (!(reply instanceof Reply.Value value)) {
             then.take(null, 0);
@@ -347,10 +377,10 @@
         });
   }
 
-  private void storedAbort(String uid, Consumer<Boolean> then) {
+  private void storedAbort(String uid, Urgency urgency, Consumer<Boolean> then) {
     gate.send(
         new StateOp.Get(Keys.abort(uid)),
-        Urgency.READ,
+        urgency,
         reply -> then.accept(reply instanceof Reply.Value value ? value.record() != null : null));
   }
 
@@ -394,6 +424,7 @@
     String uid = job.uid();
     storedAlloc(
         job,
+        Urgency.ABORT,
         (alloc, stamp) -> {
           if (alloc == null || tries >= ABORT_TRIES) {
             abortFailed(uid, answer);
--- a/src/test/java/eiderfork/core/BudgetTest.java
+++ b/src/test/java/eiderfork/core/BudgetTest.java
@@ -56,6 +56,32 @@
     assertEquals("done/" + burst, keys.get(1));
   }
 
+  /** Polls once held submissions up for seconds at nodes that could not reach the leader. */
+  @Test
+  void aNodeOnItsOwnRefusesPollsItCannotServeAndTakesSubmissionsFirst() {
+    Context context = new Context(World.settings("roost-0"), new Random(1), 0);
+    StateGate gate = new StateGate(context);
+    Term term = new Term(context, gate, null);
+    JobBook jobs = new JobBook(context, gate, term);
+    Fleet fleet = new Fleet(context, jobs);
+    Users users = new Users(context, term, gate, jobs, fleet, null, null, () -> {});
+    List<UserAnswer> refused = new ArrayList<>();
+    for (int i = 0; i < 500; i++) {
+      users.take(new Input.Query(i, "run-%06d".formatted(i)), true, refused::add);
+    }
+    assertTrue(refused.size() > 300, "most are answered at once: " + refused.size());
+    assertTrue(refused.stream().allMatch(a -> a.status() == 503 && a.retryAfterS() > 0));
+    context.takeEffects();
+    users.take(
+        new Input.Submit(1, World.job(999, eiderfork.model.JobKind.SERVICE, 1, 1), new byte[0]),
+        true,
+        refused::add);
+    context.nowMs += 100;
+    gate.pump();
+    Effect.AskState first = (Effect.AskState) context.takeEffects().get(0);
+    assertEquals(new StateOp.Get("job/run-000999"), first.op());
+  }
+
   private static void write(StateGate gate, String key, Urgency urgency) {
     gate.send(
         new StateOp.Transact(
