Searches look at each machine once for a job; bounds on them are ratios to the settings

Cause: a search looked at every machine for each task, 60 to 180 times over for the large arrays, and past a fixed 20,000 looks at samples only, whose 'nothing fits' was then taken for 'no room' and stopped other work. The tasks of a job are alike, so a search scores each machine once and again only after it took a task; the planner goes on from the bin that took the last one. The bound is a share of the controller's part of a core. Excluded: any change of what is chosen; order and ties are as before.

--- a/src/main/java/eiderfork/config/Settings.java
+++ b/src/main/java/eiderfork/config/Settings.java
@@ -18,6 +18,7 @@
     Workers workers,
     StateLimits stateLimits,
     CloudLimits cloudLimits,
+    Controller controller,
     OperatorSettings operator) {
 
   public record Endpoint(String host, int port) {
@@ -34,5 +35,8 @@
 
   public record StateLimits(double rps, double writeRps, double valueKb) {}
 
+  /** What a controller's machine gives it: a share of one core. */
+  public record Controller(double cpuShare) {}
+
   public record CloudLimits(double rps, double listLagS) {}
 }
--- a/src/main/java/eiderfork/config/SettingsFile.java
+++ b/src/main/java/eiderfork/config/SettingsFile.java
@@ -76,6 +76,7 @@
     String inWorkers = "deployment.workers";
     String inState = "deployment.state";
     String inCloud = "deployment.cloud";
+    String inResources = "deployment.resources";
     return new Settings(
         text(root, "", "host_name"),
         text(root, "", "zone"),
@@ -96,6 +97,8 @@
             positive(state, inState, "value_kb")),
         new Settings.CloudLimits(
             positive(cloud, inCloud, "rps"), positive(cloud, inCloud, "list_lag_s")),
+        new Settings.Controller(
+            positive(table(deployment, "deployment", "resources"), inResources, "cpu_share")),
         operator);
   }
 
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -9,11 +9,13 @@
 import eiderfork.model.TaskReport;
 import eiderfork.model.Team;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -21,10 +23,16 @@
 final class Placer {
   private static final Logger LOG = LoggerFactory.getLogger(Placer.class);
 
-  /** Past this many looks at a machine in one round, each task looks at a sample only. */
-  private static final int FULL_SEARCH_LOOKS = 20_000;
+  /** How many machines a whole core looks at in a second, for a job each; a low estimate. */
+  private static final double LOOKS_PER_CORE_S = 1_000_000;
 
-  /** How many machines a sample has. */
+  /**
+   * The share of a report interval that the searches of a round may take; past it each further job
+   * looks at a sample of machines only.
+   */
+  private static final double SEARCH_SHARE = 0.1;
+
+  /** How many machines a sample has for each task. */
   private static final int SAMPLE = 8;
 
   /** A stranded GPU weighs as much as an image wait of this many reports. */
@@ -45,6 +53,9 @@
 
   private final Map<String, Resources> usedByTeam = new HashMap<>();
   private final List<Claim> claims = new ArrayList<>();
+  private final double fullSearchLooks;
+
+  /** Looks at a machine for a job in this round. */
   private int looks;
 
   /** What the GPU work of now takes beside each GPU; 0 while there is none. */
@@ -57,6 +68,16 @@
     this.jobs = jobs;
     this.fleet = fleet;
     this.workers = workers;
+    fullSearchLooks =
+        LOOKS_PER_CORE_S
+            * context.settings.controller().cpuShare()
+            * context.settings.workers().reportS()
+            * SEARCH_SHARE;
+  }
+
+  /** How many looks at a machine the last round took. */
+  int looks() {
+    return looks;
   }
 
   /** One round: each changed job is written once. */
@@ -153,18 +174,19 @@
     List<Placed> proposed = new ArrayList<>();
     long attempt = Math.max(entry.lastAttempt, entry.committed.lastAttempt()) + 1;
     AllocSize size = new AllocSize(entry, attempt);
+    Search search = new Search(entry, perZone);
     for (int index = entry.waiting.nextSetBit(0);
         index >= 0;
         index = entry.waiting.nextSetBit(index + 1)) {
       if (team == null || !team.withinLimit(used.plus(job.need()))) {
         break;
       }
-      MachineEntry m = choose(entry, perZone);
+      MachineEntry m = search.best();
       if (m != null && !size.takes(m, context.settings.stateLimits().valueKb())) {
         break;
       }
       if (m == null || (late(job, m) && waitsForBetter(entry, own, preemption, perZone))) {
-        noRoom = m == null;
+        noRoom = m == null && !search.sampled;
         break;
       }
       if (LOG.isDebugEnabled()) {
@@ -181,6 +203,7 @@
       own.removeIf(claim -> claim.machine == m);
       free.merge(m, job.need(), Resources::minus);
       perZone.merge(m.zone(), 1, Integer::sum);
+      search.taken();
       used = used.plus(job.need());
     }
     if (gang && !entry.waiting.isEmpty()) {
@@ -276,37 +299,63 @@
     return own;
   }
 
-  /** The machine for one more task, or null where none fits. */
-  private MachineEntry choose(JobEntry entry, Map<String, Integer> perZone) {
-    Job job = entry.job;
-    MachineEntry best = null;
-    double bestScore = 0;
-    List<MachineEntry> candidates = candidates();
-    for (MachineEntry m : candidates) {
-      Resources left = free.get(m);
-      looks++;
-      if (!job.need().fitsIn(left) || !allowed(entry, m, perZone)) {
-        continue;
+  /**
+   * The search for machines for the tasks of one job. They are all alike, so each machine is looked
+   * at once, and again only after it has taken a task.
+   */
+  private final class Search {
+    private record Found(MachineEntry machine, double score, int order) {}
+
+    private final JobEntry entry;
+    private final Map<String, Integer> perZone;
+    private final PriorityQueue<Found> found =
+        new PriorityQueue<>(
+            Comparator.comparingDouble(Found::score).thenComparingInt(Found::order));
+
+    /** Not every machine was looked at, so that nothing found is no proof of no room. */
+    final boolean sampled;
+
+    Search(JobEntry entry, Map<String, Integer> perZone) {
+      this.entry = entry;
+      this.perZone = perZone;
+      List<MachineEntry> all = new ArrayList<>(free.keySet());
+      int sample = SAMPLE * entry.waiting.cardinality();
+      sampled = looks > fullSearchLooks && all.size() > sample;
+      if (sampled) {
+        for (int i = 0; i < sample; i++) {
+          Collections.swap(all, i, i + context.random.nextInt(all.size() - i));
+        }
+        all = all.subList(0, sample);
       }
-      double score = score(job, m, left.minus(job.need()));
-      if (best == null || score < bestScore) {
-        best = m;
-        bestScore = score;
+      for (int i = 0; i < all.size(); i++) {
+        look(all.get(i), i);
+      }
+    }
+
+    private void look(MachineEntry m, int order) {
+      looks++;
+      Resources left = free.get(m);
+      if (entry.job.need().fitsIn(left) && allowed(entry, m, perZone)) {
+        found.add(new Found(m, score(entry.job, m, left.minus(entry.job.need())), order));
       }
     }
-    return best;
-  }
 
-  private List<MachineEntry> candidates() {
-    List<MachineEntry> all = new ArrayList<>(free.keySet());
-    if (looks <= FULL_SEARCH_LOOKS || all.size() <= SAMPLE) {
-      return all;
+    /** The best machine for one more task, or null where none fits. */
+    MachineEntry best() {
+      // A zone that is full for this job stays so, since its tasks only grow in number.
+      while (!found.isEmpty()
+          && !(allowed(entry, found.peek().machine, perZone)
+              && entry.job.need().fitsIn(free.get(found.peek().machine)))) {
+        found.remove();
+      }
+      return found.isEmpty() ? null : found.peek().machine;
     }
-    List<MachineEntry> sample = new ArrayList<>(SAMPLE);
-    for (int i = 0; i < SAMPLE; i++) {
-      sample.add(all.get(context.random.nextInt(all.size())));
+
+    /** The best machine has taken a task. */
+    void taken() {
+      Found best = found.remove();
+      look(best.machine, best.order);
     }
-    return sample;
   }
 
   private boolean allowed(JobEntry entry, MachineEntry m, Map<String, Integer> perZone) {
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -75,6 +75,7 @@
   private final Map<String, Arrivals> arrivals = new LinkedHashMap<>();
   private long arrivalsSinceMs;
   private long describeNextMs;
+  private int looks;
 
   Planner(Context context, JobBook jobs, Fleet fleet, Workers workers, Cloud cloud, Placer placer) {
     this.context = context;
@@ -97,7 +98,13 @@
     a.tasks += job.tasks();
   }
 
+  /** How many looks at a machine the last plan took. */
+  int looks() {
+    return looks;
+  }
+
   void plan() {
+    looks = 0;
     List<Bin> bins = bins();
     int known = bins.size();
     Map<String, Resources> used = new HashMap<>();
@@ -114,8 +121,9 @@
       int ready = headroom(a);
       Map<String, Integer> perZone = new HashMap<>();
       int zoneMost = a.sample.spread() ? (ready + 1) / 2 : ready;
-      for (int i = 0; i < ready; i++) {
-        put(a.sample, bins, perZone, zoneMost);
+      int at = 0;
+      for (int i = 0; i < ready && at >= 0; i++) {
+        at = put(a.sample, bins, at, perZone, zoneMost);
       }
     }
     describe();
@@ -198,21 +206,33 @@
     Team team = context.settings.teams().get(job.team());
     Map<String, Integer> perZone = Placer.zonesOf(entry);
     int tasks = entry.waiting.cardinality();
+    int at = 0;
     for (int i = 0; i < tasks; i++) {
       Resources with = used.getOrDefault(job.team(), Resources.NONE).plus(job.need());
-      if (team == null || !team.withinLimit(with) || !put(job, bins, perZone, job.perZone())) {
+      if (team == null || !team.withinLimit(with)) {
+        return;
+      }
+      at = put(job, bins, at, perZone, job.perZone());
+      if (at < 0) {
         return;
       }
       used.put(job.team(), with);
     }
   }
 
-  /** Packs one task, opening a new machine where none has room; whether that was possible. */
-  private boolean put(Job job, List<Bin> bins, Map<String, Integer> perZone, int zoneMost) {
-    for (Bin bin : bins) {
+  /**
+   * Packs one task, opening a new machine where none has room. Tasks of a job are alike, so what
+   * did not take the one before takes none after it: each task goes on from that one's bin.
+   *
+   * @return the bin that took it, or -1 for none
+   */
+  private int put(Job job, List<Bin> bins, int from, Map<String, Integer> perZone, int zoneMost) {
+    for (int at = from; at < bins.size(); at++) {
+      Bin bin = bins.get(at);
+      looks++;
       if (allowed(job, bin.kind, perZone, zoneMost) && job.need().fitsIn(bin.left)) {
         take(job, bin, perZone);
-        return true;
+        return at;
       }
     }
     Bin best = null;
@@ -239,11 +259,11 @@
       }
     }
     if (best == null) {
-      return false;
+      return -1;
     }
     bins.add(best);
     take(job, best, perZone);
-    return true;
+    return bins.size() - 1;
   }
 
   /** The price of one task on a full machine; a boot slower than the job can wait costs more. */
--- a/src/main/java/eiderfork/net/Rehearsal.java
+++ b/src/main/java/eiderfork/net/Rehearsal.java
@@ -80,6 +80,8 @@
         [deployment.cloud]
         rps = 100.0
         list_lag_s = 0.1
+        [deployment.resources]
+        cpu_share = 0.2
         """
             .formatted(publicPort, peerPort, services);
     Node node = new Node(SettingsFile.parse("rehearsal", settings, OperatorSettings.DEFAULTS));
--- a/src/test/java/eiderfork/cli/ProcessTest.java
+++ b/src/test/java/eiderfork/cli/ProcessTest.java
@@ -91,6 +91,8 @@
         [deployment.cloud]
         rps = 1.5
         list_lag_s = 10.0
+        [deployment.resources]
+        cpu_share = 0.2
         """
             .formatted(port, free(), free(), free());
     Path file = Files.writeString(folder.resolve("s.toml"), settings);
--- a/src/test/java/eiderfork/config/SettingsTest.java
+++ b/src/test/java/eiderfork/config/SettingsTest.java
@@ -44,6 +44,8 @@
       [deployment.cloud]
       rps = 1.5
       list_lag_s = 10.0
+      [deployment.resources]
+      cpu_share = 0.2
       """;
 
   private static String complaint(String text) {
