Settings that can't work together end the start; a record that can't be read freezes its job

Cause: a value size that no job's record fits, a transaction of one change, a lease shorter than two reports or a cancellation time that a cut-off machine outlives went unnoticed until they hurt; one stored value that could not be read kept a new leader from ever rebuilding. Settings now name field and reason with exit code 2; a job with such a record is logged, answered 503 and left alone (its tasks neither stopped nor started, all of them counted for the quota), and everything else goes on. AllocSize moved to the model and counts ranges that reservations may leave.

--- a/src/main/java/eiderfork/config/SettingsFile.java
+++ b/src/main/java/eiderfork/config/SettingsFile.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import eiderfork.model.AllocSize;
+import eiderfork.model.Job;
 import eiderfork.model.Team;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -12,6 +14,12 @@
 
 /** Reads the platform's settings; fields that it does not know are ignored. */
 public final class SettingsFile {
+  /** The leader key and the counter of terms are written in one transaction. */
+  private static final int SAFE_CHANGES = 2;
+
+  /** A machine's name is no longer than a key may be. */
+  private static final int MOST_NAME_BYTES = 200;
+
   private final String file;
 
   private SettingsFile(String file) {
@@ -77,6 +85,27 @@
     String inState = "deployment.state";
     String inCloud = "deployment.cloud";
     String inResources = "deployment.resources";
+    double reportS = positive(workers, inWorkers, "report_s");
+    double leaseS = positive(workers, inWorkers, "lease_s");
+    double cancelS = positive(workers, inWorkers, "cancel_s");
+    double valueKb = positive(state, inState, "value_kb");
+    check(leaseS >= 2 * reportS, inWorkers, "lease_s", "shorter than two reports (report_s)");
+    check(
+        cancelS > leaseS + 2 * reportS,
+        inWorkers,
+        "cancel_s",
+        "no longer than a lease and two reports (lease_s, report_s), in which a machine that is cut"
+            + " off ends its tasks");
+    check(
+        AllocSize.anyFits(Job.MOST_TASKS, MOST_NAME_BYTES, valueKb),
+        inState,
+        "value_kb",
+        "too small for the record of any job");
+    check(
+        positive(state, inState, "txn_ops") >= SAFE_CHANGES,
+        inState,
+        "txn_ops",
+        "fewer changes than taking the lead writes at once (" + SAFE_CHANGES + ")");
     return new Settings(
         text(root, "", "host_name"),
         text(root, "", "zone"),
@@ -87,14 +116,9 @@
         endpoint(endpoints, "endpoints", "state"),
         teams.buildKeepingLast(),
         objectives.build(),
-        new Settings.Workers(
-            positive(workers, inWorkers, "report_s"),
-            positive(workers, inWorkers, "lease_s"),
-            positive(workers, inWorkers, "cancel_s")),
+        new Settings.Workers(reportS, leaseS, cancelS),
         new Settings.StateLimits(
-            positive(state, inState, "rps"),
-            positive(state, inState, "write_rps"),
-            positive(state, inState, "value_kb")),
+            positive(state, inState, "rps"), positive(state, inState, "write_rps"), valueKb),
         new Settings.CloudLimits(
             positive(cloud, inCloud, "rps"), positive(cloud, inCloud, "list_lag_s")),
         new Settings.Controller(
@@ -102,6 +126,13 @@
         operator);
   }
 
+  /** Refuses figures that can't work together. */
+  private void check(boolean works, String at, String name, String reason) throws BadSettings {
+    if (!works) {
+      throw new BadSettings(file, path(at, name), reason);
+    }
+  }
+
   private static String path(String at, String name) {
     return at.isEmpty() ? name : at + "." + name;
   }
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -277,7 +277,9 @@
 
   private void restore(String prefix, Reply.Item item) {
     Record record = item.record();
-    if (record instanceof Record.JobSpec spec) {
+    if (record instanceof Record.Unreadable it) {
+      unreadable(item.key(), it);
+    } else if (record instanceof Record.JobSpec spec) {
       jobs.add(spec.job(), item.stamp());
     } else if (record instanceof Record.Alloc alloc) {
       JobEntry entry = jobs.get(Keys.tail(item.key()));
@@ -321,8 +323,18 @@
         });
   }
 
+  /** A job that memory can't hold truly is frozen, and the rest goes on without it. */
+  private void unreadable(String key, Record.Unreadable record) {
+    LOG.error("{} can't be read and is left as it is: {}", key, record.why());
+    if (key.startsWith(Keys.JOB) || key.startsWith(Keys.ALLOC)) {
+      jobs.freeze(Keys.tail(key));
+    }
+  }
+
   private void changed(Reply.Item item) {
-    if (item.record() instanceof Record.JobSpec spec) {
+    if (item.record() instanceof Record.Unreadable it) {
+      unreadable(item.key(), it);
+    } else if (item.record() instanceof Record.JobSpec spec) {
       if (jobs.get(spec.job().uid()) == null) {
         jobs.add(spec.job(), item.stamp());
         planner.arrived(spec.job());
--- a/src/main/java/eiderfork/core/JobBook.java
+++ b/src/main/java/eiderfork/core/JobBook.java
@@ -8,9 +8,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,6 +28,9 @@
   /** Jobs that still have something to do, so that rounds skip the long past. */
   private final Map<String, JobEntry> active = new LinkedHashMap<>();
 
+  /** Jobs of which a stored record can't be read. */
+  private final Set<String> frozen = new HashSet<>();
+
   JobBook(Context context, StateGate gate, Term term) {
     this.context = context;
     this.gate = gate;
@@ -35,6 +40,25 @@
   void clear() {
     jobs.clear();
     active.clear();
+    frozen.clear();
+  }
+
+  /**
+   * Leaves a job alone of which a stored record can't be read: nothing of it is started, stopped or
+   * answered for, since any of that could contradict what the record says.
+   */
+  void freeze(String uid) {
+    frozen.add(uid);
+    JobEntry entry = jobs.get(uid);
+    if (entry != null) {
+      entry.freeze();
+    }
+  }
+
+  /** Whether a job is frozen; a cancellation that was read still ends it. */
+  boolean isFrozen(String uid) {
+    JobEntry entry = jobs.get(uid);
+    return frozen.contains(uid) && !(entry != null && entry.aborted);
   }
 
   JobEntry get(String uid) {
--- a/src/main/java/eiderfork/core/JobEntry.java
+++ b/src/main/java/eiderfork/core/JobEntry.java
@@ -1,6 +1,7 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.model.AllocSize;
 import eiderfork.model.Job;
 import eiderfork.model.JobStatus;
 import eiderfork.model.Record;
@@ -30,6 +31,9 @@
   /** What is in memory differs from what is committed. */
   boolean dirty;
 
+  /** A stored record of the job can't be read. */
+  private boolean frozen;
+
   /** A write of the alloc key is under way. */
   boolean writing;
 
@@ -72,7 +76,13 @@
    * settlement is committed: a leader that takes over before starts it again.
    */
   int counted() {
-    return placed.size() + uncommitted.size();
+    // What of a frozen job runs is not known; all of it may.
+    return frozen ? job.tasks() : placed.size() + uncommitted.size();
+  }
+
+  void freeze() {
+    frozen = true;
+    waiting.clear();
   }
 
   boolean allFinished() {
@@ -116,6 +126,21 @@
     return n;
   }
 
+  /** What the alloc record may take, with all that is reserved now. */
+  AllocSize size() {
+    int ranges = 0;
+    for (int from = finished.nextSetBit(0);
+        from >= 0;
+        from = finished.nextSetBit(finished.nextClearBit(from))) {
+      ranges++;
+    }
+    AllocSize size = new AllocSize(job.tasks(), ranges);
+    for (Placed p : placed.values()) {
+      size.add(p.attempt, p.machine.name);
+    }
+    return size;
+  }
+
   /** The alloc record that says what is in memory now. */
   Record.Alloc toRecord() {
     ImmutableList.Builder<Record.Span> spans = ImmutableList.builder();
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -1,6 +1,7 @@
 package eiderfork.core;
 
 import eiderfork.config.Settings;
+import eiderfork.model.AllocSize;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.MachineType;
@@ -173,7 +174,7 @@
     boolean noRoom = false;
     List<Placed> proposed = new ArrayList<>();
     long attempt = Math.max(entry.lastAttempt, entry.committed.lastAttempt()) + 1;
-    AllocSize size = new AllocSize(entry, attempt);
+    AllocSize size = entry.size();
     Search search = new Search(entry, perZone);
     for (int index = entry.waiting.nextSetBit(0);
         index >= 0;
@@ -182,7 +183,7 @@
         break;
       }
       MachineEntry m = search.best();
-      if (m != null && !size.takes(m, context.settings.stateLimits().valueKb())) {
+      if (m != null && !size.takes(attempt, m.name, context.settings.stateLimits().valueKb())) {
         break;
       }
       if (m == null || (late(job, m) && waitsForBetter(entry, own, preemption, perZone))) {
@@ -199,7 +200,7 @@
             imageWaitS(job, m));
       }
       proposed.add(jobs.propose(entry, index, attempt, m));
-      size.add(m);
+      size.add(attempt, m.name);
       own.removeIf(claim -> claim.machine == m);
       free.merge(m, job.need(), Resources::minus);
       perZone.merge(m.zone(), 1, Integer::sum);
--- a/src/main/java/eiderfork/core/Users.java
+++ b/src/main/java/eiderfork/core/Users.java
@@ -33,6 +33,9 @@
   /** How long a peer may take over a request passed on, as a share of a lease. */
   private static final double FORWARD_SHARE = 0.05;
 
+  /** When to ask again for a job of which a record can't be read: an operator has to act first. */
+  private static final int RECORD_RETRY_S = 30;
+
   private final Context context;
   private final Term term;
   private final StateGate gate;
@@ -124,7 +127,9 @@
   }
 
   private void here(Input request, Consumer<UserAnswer> answer) {
-    if (request instanceof Input.Submit submit) {
+    if (jobs.isFrozen(uid(request))) {
+      answer.accept(UserAnswer.later(RECORD_RETRY_S, "a stored record of the job can't be read"));
+    } else if (request instanceof Input.Submit submit) {
       submit(submit.job(), answer);
     } else if (request instanceof Input.Query query) {
       query(query.uid(), answer);
@@ -324,7 +329,7 @@
         new StateOp.Get(Keys.job(uid)),
         urgency,
         reply -> {
-          if (!(reply instanceof Reply.Value spec)) {
+          if (!(reply instanceof Reply.Value spec) || spec.record() instanceof Record.Unreadable) {
             then.accept(null);
           } else if (!(spec.record() instanceof Record.JobSpec it)) {
             then.accept(java.util.Optional.empty());
@@ -367,7 +372,8 @@
         new StateOp.Get(Keys.alloc(job.uid())),
         urgency,
         reply -> {
-          if (!(reply instanceof Reply.Value value)) {
+          if (!(reply instanceof Reply.Value value)
+              || value.record() instanceof Record.Unreadable) {
             then.take(null, 0);
           } else if (value.record() instanceof Record.Alloc alloc) {
             then.take(alloc, value.stamp());
@@ -399,7 +405,7 @@
         new StateOp.Get(Keys.job(uid)),
         Urgency.ABORT,
         reply -> {
-          if (!(reply instanceof Reply.Value spec)) {
+          if (!(reply instanceof Reply.Value spec) || spec.record() instanceof Record.Unreadable) {
             abortFailed(uid, answer);
           } else if (!(spec.record() instanceof Record.JobSpec it)) {
             answer.accept(UserAnswer.refused(404, "no such job"));
--- a/src/main/java/eiderfork/core/Workers.java
+++ b/src/main/java/eiderfork/core/Workers.java
@@ -253,6 +253,9 @@
     }
     for (TaskReport task : m.tasks()) {
       Attempt attempt = task.attempt();
+      if (jobs.isFrozen(attempt.task().job())) {
+        continue;
+      }
       JobEntry job = jobs.get(attempt.task().job());
       Placed p = job == null ? null : job.placed.get(attempt.task().index());
       boolean ours = p != null && held.contains(attempt);
--- a/src/main/java/eiderfork/model/Job.java
+++ b/src/main/java/eiderfork/model/Job.java
@@ -28,6 +28,8 @@
     double checkpointS,
     double saveS,
     Double deadlineS) {
+  /** The most tasks that a job may have. */
+  public static final int MOST_TASKS = 100_000;
 
   public boolean allowsType(String type) {
     return types == null || types.contains(type);
--- a/src/main/java/eiderfork/model/Record.java
+++ b/src/main/java/eiderfork/model/Record.java
@@ -10,6 +10,9 @@
   /** The leader key: who leads, and in which term. */
   record Leadership(String node, long term) implements Record {}
 
+  /** A value that this version can't read; what it stands for is left as it is. */
+  record Unreadable(String why) implements Record {}
+
   /** The counter of terms. */
   record Term(long term) implements Record {}
 
--- a/src/main/java/eiderfork/wire/Records.java
+++ b/src/main/java/eiderfork/wire/Records.java
@@ -115,8 +115,19 @@
     return runs;
   }
 
-  /** The record under a key, or null where the key or the value is not this version's. */
+  /** The record under a key, or null where the key is not this version's. */
   static Record record(String key, JsonNode node) throws BadMessage {
+    try {
+      return read(key, node);
+    } catch (BadMessage e) {
+      if (key.equals(Keys.LEADER) || key.equals(Keys.TERM)) {
+        throw e;
+      }
+      return new Record.Unreadable(e.getMessage());
+    }
+  }
+
+  private static Record read(String key, JsonNode node) throws BadMessage {
     if (key.startsWith(Keys.JOB)) {
       return new Record.JobSpec(UserWire.job(node));
     } else if (key.startsWith(Keys.ALLOC)) {
--- a/src/main/java/eiderfork/wire/UserWire.java
+++ b/src/main/java/eiderfork/wire/UserWire.java
@@ -16,7 +16,6 @@
   public static final String ABORT = "/abort";
   public static final String HEALTH = "/healthz";
 
-  private static final int MOST_TASKS = 100_000;
   private static final Pattern UID = Pattern.compile("run-[0-9]{1,18}");
 
   private UserWire() {}
@@ -35,8 +34,8 @@
       throw new BadMessage("field Uid is not a job id");
     }
     long tasks = Json.integer(node, "Hatchlings");
-    if (tasks < 1 || tasks > MOST_TASKS) {
-      throw new BadMessage("field Hatchlings is not from 1 to " + MOST_TASKS);
+    if (tasks < 1 || tasks > Job.MOST_TASKS) {
+      throw new BadMessage("field Hatchlings is not from 1 to " + Job.MOST_TASKS);
     }
     return new Job(
         uid,
--- a/src/test/java/eiderfork/config/SettingsTest.java
+++ b/src/test/java/eiderfork/config/SettingsTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class SettingsTest {
   static final String GOOD =
@@ -75,6 +77,18 @@
     assertTrue(complaint("= = =").startsWith("s.toml: not TOML"));
   }
 
+  @ParameterizedTest
+  @CsvSource({
+    "lease_s = 10.0,lease_s = 1.5,deployment.workers.lease_s",
+    "cancel_s = 30.0,cancel_s = 11.0,deployment.workers.cancel_s",
+    "value_kb = 8.0,value_kb = 0.25,deployment.state.value_kb",
+    "txn_ops = 16,txn_ops = 1,deployment.state.txn_ops"
+  })
+  void refusesFiguresThatCannotWorkTogether(String good, String bad, String field) {
+    assertTrue(GOOD.contains(good));
+    assertTrue(complaint(GOOD.replace(good, bad)).startsWith("s.toml: " + field + ": "));
+  }
+
   @Test
   void readsOperatorsSettingsWithDefaults() throws BadSettings {
     OperatorSettings own = OperatorFile.parse("o.edn", "{:headroom 2.5 :spot false} ; ours");
--- a/src/test/java/eiderfork/core/FakeState.java
+++ b/src/test/java/eiderfork/core/FakeState.java
@@ -44,6 +44,11 @@
     return entry == null ? null : entry.record;
   }
 
+  /** Puts a value there that no version can read. */
+  void spoil(String key) {
+    entries.put(key, new Entry(new Record.Unreadable("spoiled"), ++ledger, 0));
+  }
+
   void tick(long nowMs) {
     if (out()) {
       return;
--- a/src/test/java/eiderfork/core/ScenarioTest.java
+++ b/src/test/java/eiderfork/core/ScenarioTest.java
@@ -237,6 +237,22 @@
     assertEquals(2, world.checker.running(urgent.uid()));
   }
 
+  @Test
+  void aJobWithARecordThatCannotBeReadIsLeftAloneAndTheRestGoesOn() {
+    Job broken = submit(World.job(1, JobKind.SERVICE, 2, 1));
+    world.run(20);
+    int starts = world.checker.starts;
+    world.state.spoil(Keys.alloc(broken.uid()));
+    world.crash(world.leader(), 3000);
+    world.run(20);
+    Job other = submit(World.job(2, JobKind.SERVICE, 2, 1));
+    world.query(broken.uid());
+    world.run(20);
+    assertEquals(2, world.checker.running(broken.uid()));
+    assertEquals(2, world.checker.running(other.uid()));
+    assertEquals(starts + 2, world.checker.starts);
+  }
+
   @Test
   void whatIsKnownIsNeverRefusedAndWhatIsNotIsDenied() {
     Job job = submit(World.job(1, JobKind.SERVICE, 1, 1));
