Half-empty machines are emptied onto fuller ones, one at a time

Nothing ever brought such replicas together. A machine in use by at most 0.6, whose replicas have all run for three leases, and would all fit with their image on fuller machines of the zone beside what waits and the headroom, for as long as an idle one is kept, is emptied and returned. Excluded: price of the kinds rented (the cheapest that fit are out of stock).

--- /dev/null
+++ b/src/main/java/eiderfork/core/Bin.java
@@ -0,0 +1,22 @@
+package eiderfork.core;
+
+import eiderfork.model.Resources;
+
+/** A machine that a plan may count on, real or yet to be rented. */
+final class Bin {
+  /** Null for one yet to be rented. */
+  final MachineEntry machine;
+
+  final Cloud.Kind kind;
+  final Resources room;
+
+  /** What nothing is reserved on nor packed on. */
+  Resources left;
+
+  Bin(MachineEntry machine, Cloud.Kind kind, Resources room, Resources left) {
+    this.machine = machine;
+    this.kind = kind;
+    this.room = room;
+    this.left = left;
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -0,0 +1,168 @@
+package eiderfork.core;
+
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.MachineType;
+import eiderfork.model.Resources;
+import eiderfork.model.TaskReport;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Empties machines that the fleet could do without: after a rush, replicas stand spread over
+ * half-empty machines, and none of these would ever become idle. One at a time, and only where
+ * every replica finds room and its image on a fuller machine, beside what waits and the headroom.
+ */
+final class Drain {
+  private static final Logger LOG = LoggerFactory.getLogger(Drain.class);
+
+  /** The most of a machine that may be in use for it to be emptied. */
+  private static final double MOST_USED = 0.6;
+
+  /** A start that is undone before this many leases have passed is of no use to its user. */
+  private static final int SETTLED_LEASES = 3;
+
+  /** How many machines a plan tries to empty, the dearest for their tasks first. */
+  private static final int TRIES = 8;
+
+  private final Context context;
+  private final Fleet fleet;
+  private final Workers workers;
+  private final Placer placer;
+
+  Drain(Context context, Fleet fleet, Workers workers, Placer placer) {
+    this.context = context;
+    this.fleet = fleet;
+    this.workers = workers;
+    this.placer = placer;
+  }
+
+  /** Looks at what a plan has left over; nothing is emptied while the fleet is {@code growing}. */
+  void plan(List<Bin> bins, boolean growing) {
+    boolean busy = false;
+    for (MachineEntry m : fleet.machines()) {
+      if (m.draining && context.nowMs - m.drainingSinceMs > context.leaseMs()) {
+        // Something holds on to it; it is used again.
+        m.draining = m.returning;
+      }
+      busy |= m.draining && !m.returning;
+    }
+    if (growing) {
+      fleet.machines().forEach(m -> m.spareSinceMs = 0);
+    }
+    if (busy || growing) {
+      return;
+    }
+    List<Bin> candidates = new ArrayList<>();
+    for (Bin bin : bins) {
+      if (mayEmpty(bin)) {
+        candidates.add(bin);
+      }
+    }
+    candidates.sort(Comparator.comparingDouble(bin -> -saving(bin)));
+    Set<MachineEntry> spare = new HashSet<>();
+    for (Bin bin : candidates.subList(0, Math.min(TRIES, candidates.size()))) {
+      if (fitsElsewhere(bin, bins)) {
+        spare.add(bin.machine);
+      }
+    }
+    for (MachineEntry m : fleet.machines()) {
+      if (!spare.contains(m)) {
+        m.spareSinceMs = 0;
+      } else if (m.spareSinceMs == 0) {
+        m.spareSinceMs = context.nowMs;
+      }
+    }
+    for (Bin bin : candidates) {
+      MachineEntry m = bin.machine;
+      double keepMs = fleet.type(m).bootS() * 1000 * context.settings.operator().idleShare();
+      if (m.spareSinceMs > 0 && context.nowMs - m.spareSinceMs >= keepMs) {
+        empty(m);
+        return;
+      }
+    }
+  }
+
+  /** What is saved for each task that has to move. */
+  private double saving(Bin bin) {
+    MachineType type = fleet.type(bin.machine);
+    return type.price(bin.kind.spot()) / bin.machine.placed.size();
+  }
+
+  private boolean mayEmpty(Bin bin) {
+    MachineEntry m = bin.machine;
+    if (m == null
+        || m.placed.isEmpty()
+        || fleet.type(m) == null
+        || !workers.usable(m)
+        || context.nowMs - m.sinceMs < Planner.MIN_CHARGE_MS
+        || !bin.left.equals(m.free())
+        || bin.left.shareOf(bin.room) < 1 - MOST_USED) {
+      return false;
+    }
+    for (Placed p : m.placed) {
+      boolean settled =
+          p.job.job.kind() == JobKind.SERVICE
+              && p.committed
+              && p.wanted()
+              && p.seen == TaskReport.State.RUNNING
+              && context.nowMs - p.runningSinceMs > SETTLED_LEASES * context.leaseMs();
+      if (!settled) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean fitsElsewhere(Bin from, List<Bin> bins) {
+    Map<Bin, Resources> left = new HashMap<>();
+    for (Placed p : from.machine.placed) {
+      Job job = p.job.job;
+      Bin best = null;
+      double bestLeft = 0;
+      for (Bin bin : bins) {
+        if (bin == from || !takes(job, from, bin)) {
+          continue;
+        }
+        Resources after = left.getOrDefault(bin, bin.left).minus(job.need());
+        double share = after.shareOf(bin.room);
+        if (Resources.NONE.fitsIn(after) && (best == null || share < bestLeft)) {
+          best = bin;
+          bestLeft = share;
+        }
+      }
+      if (best == null) {
+        return false;
+      }
+      left.put(best, left.getOrDefault(best, best.left).minus(job.need()));
+    }
+    return true;
+  }
+
+  /** In the same zone, so that no spread changes, and on a machine that is the fuller one. */
+  private boolean takes(Job job, Bin from, Bin to) {
+    return to.machine != null
+        && !to.machine.placed.isEmpty()
+        && workers.usable(to.machine)
+        && to.kind.zone().equals(from.kind.zone())
+        && job.allowsType(to.kind.type())
+        && (job.spot() || !to.kind.spot())
+        && to.left.shareOf(to.room) <= from.left.shareOf(from.room)
+        && placer.imageWaitS(job, to.machine) <= context.settings.workers().reportS();
+  }
+
+  private void empty(MachineEntry m) {
+    LOG.info("emptying {}, its {} tasks fit elsewhere", m.name, m.placed.size());
+    m.draining = true;
+    m.drainingSinceMs = context.nowMs;
+    m.urgent = true;
+    m.placed.forEach(p -> p.stopping = true);
+  }
+}
--- a/src/main/java/eiderfork/core/MachineEntry.java
+++ b/src/main/java/eiderfork/core/MachineEntry.java
@@ -67,6 +67,14 @@
   /** A return is decided: nothing starts here any more. */
   boolean returning;
 
+  /** Its replicas are being moved away, and nothing starts here. */
+  boolean draining;
+
+  long drainingSinceMs;
+
+  /** Since when all that it holds would fit elsewhere; 0 while it would not. */
+  long spareSinceMs;
+
   /** Since when the machine holds nothing; 0 while it holds something. */
   long idleSinceMs;
 
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -394,7 +394,7 @@
   }
 
   /** How long a task of this job would wait for its image here. */
-  private double imageWaitS(Job job, MachineEntry m) {
+  double imageWaitS(Job job, MachineEntry m) {
     MachineType type = fleet.type(m);
     if (job.image() == null || type == null) {
       return 0;
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -43,22 +43,7 @@
   private static final int PATIENCE_LEASES = 2;
 
   /** A returned machine costs this long at least. */
-  private static final long MIN_CHARGE_MS = 60_000;
-
-  /** A machine that a plan may count on, real or yet to be rented. */
-  private static final class Bin {
-    final MachineEntry machine;
-    final Cloud.Kind kind;
-    final Resources room;
-    Resources left;
-
-    Bin(MachineEntry machine, Cloud.Kind kind, Resources room, Resources left) {
-      this.machine = machine;
-      this.kind = kind;
-      this.room = room;
-      this.left = left;
-    }
-  }
+  static final long MIN_CHARGE_MS = 60_000;
 
   /** What a class of jobs has asked for so far. */
   private static final class Arrivals {
@@ -72,6 +57,7 @@
   private final Workers workers;
   private final Cloud cloud;
   private final Placer placer;
+  private final Drain drain;
   private final Map<String, Arrivals> arrivals = new LinkedHashMap<>();
   private long arrivalsSinceMs;
   private long describeNextMs;
@@ -84,6 +70,7 @@
     this.workers = workers;
     this.cloud = cloud;
     this.placer = placer;
+    drain = new Drain(context, fleet, workers, placer);
   }
 
   void clear() {
@@ -128,6 +115,7 @@
     }
     describe();
     rent(bins.subList(known, bins.size()));
+    drain.plan(bins.subList(0, known), bins.size() > known);
     giveBack(bins.subList(0, known));
   }
 
@@ -351,7 +339,9 @@
       } else if (m.placed.isEmpty() && m.tasks().isEmpty()) {
         Bin bin = packed.get(m);
         boolean needed = bin != null && !bin.left.equals(m.room);
-        if (needed) {
+        if (m.draining) {
+          cloud.giveBack(m, "drained");
+        } else if (needed) {
           m.idleSinceMs = 0;
         } else if (m.idleSinceMs == 0) {
           m.idleSinceMs = context.nowMs;
--- a/src/main/java/eiderfork/core/Workers.java
+++ b/src/main/java/eiderfork/core/Workers.java
@@ -93,6 +93,7 @@
         && heard(m)
         && !deaf(m)
         && !m.returning
+        && !m.draining
         && !m.faulty
         && m.report.noticeS() == null
         && m.unanswered < 2;
--- a/src/test/java/eiderfork/core/Checker.java
+++ b/src/test/java/eiderfork/core/Checker.java
@@ -181,6 +181,11 @@
     return on.keySet().stream().filter(task -> task.job().equals(uid)).count();
   }
 
+  /** How many tasks run, of whatever job. */
+  long runningTasks() {
+    return on.size();
+  }
+
   boolean wasAccepted(String uid) {
     return accepted.contains(uid);
   }
--- a/src/test/java/eiderfork/core/ScenarioTest.java
+++ b/src/test/java/eiderfork/core/ScenarioTest.java
@@ -179,6 +179,24 @@
     assertEquals(4, world.checker.running(job.uid()));
   }
 
+  @Test
+  void replicasOnHalfEmptyMachinesAreMovedTogether() {
+    for (int i = 1; i <= 8; i++) {
+      submit(World.job(i, JobKind.SERVICE, 1, 2));
+      world.run(12);
+    }
+    world.run(20);
+    for (FakeWorker worker : world.workers()) {
+      worker.present().stream().skip(1).forEach(task -> world.abort(task.job()));
+    }
+    world.run(20);
+    long before = world.liveHosts();
+    long running = world.checker.runningTasks();
+    world.run(120);
+    assertTrue(world.liveHosts() < before, before + " machines stay");
+    assertEquals(running, world.checker.runningTasks());
+  }
+
   @Test
   void anUnexpectedMachineIsGivenBack() {
     submit(World.job(1, JobKind.SERVICE, 1, 1));
