Starts go out at tick grain; the ends of a job's tasks are collected

Cause: kozildirik may wait 2 s, of which an image that is not cached takes 1.5 to 2.1 s (fetches vary by fetch, not by machine: the same machine took 7.0 to 8.3 s for images of one size). A round every 200 ms, taken up by reports, left up to that much on top. Rounds now follow each other at a tick (50 ms); what only ended waits until its job was not written for round-share of a report, so the write rate is spent on starts.

--- a/src/main/java/eiderfork/config/OperatorSettings.java
+++ b/src/main/java/eiderfork/config/OperatorSettings.java
@@ -3,7 +3,8 @@
 /**
  * What operators may set themselves, each with a default.
  *
- * @param roundShare the shortest time between two placing rounds, as a share of report_s
+ * @param roundShare how long the ends of a job's tasks are collected for one write, as a share of
+ *     report_s
  * @param stateLeaseShare the leader's lease in the state service, as a share of lease_s
  * @param headroom how many standard deviations of arrivals within a boot time stay free
  * @param idleShare how long an unneeded machine is kept, as a share of its type's boot time
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -144,10 +144,9 @@
 
   private void round() {
     if (roundWanted && rebuilt && term.sure() && context.nowMs >= nextRoundMs) {
-      roundWanted = false;
-      nextRoundMs =
-          context.nowMs + (long) (context.reportMs() * context.settings.operator().roundShare());
-      placer.round();
+      // A start should not wait for the round; ends are collected, see Placer.
+      nextRoundMs = context.nowMs + context.reportMs() / TICKS_PER_REPORT;
+      roundWanted = placer.round();
       workers.tick();
     }
   }
--- a/src/main/java/eiderfork/core/JobBook.java
+++ b/src/main/java/eiderfork/core/JobBook.java
@@ -233,6 +233,7 @@
     List<Placed> settled = List.copyOf(entry.uncommitted);
     entry.dirty = false;
     entry.writing = true;
+    entry.writtenMs = context.nowMs;
     send(entry, record, proposed, settled, urgency);
   }
 
--- a/src/main/java/eiderfork/core/JobEntry.java
+++ b/src/main/java/eiderfork/core/JobEntry.java
@@ -37,6 +37,9 @@
   /** A write of the alloc key is under way. */
   boolean writing;
 
+  /** When the last write of the alloc key was handed over. */
+  long writtenMs;
+
   long writeNotBeforeMs;
   final Backoff writeBackoff;
 
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -81,8 +81,14 @@
     return looks;
   }
 
-  /** One round: each changed job is written once. */
-  void round() {
+  /**
+   * One round: each changed job is written once. What only ended waits until the job was not
+   * written for a while, so that the writes of one job do not follow each of its tasks.
+   *
+   * @return whether something was left for a later round
+   */
+  boolean round() {
+    boolean left = false;
     List<JobEntry> ranked = ranked();
     free.clear();
     looks = 0;
@@ -106,16 +112,24 @@
     Preemption preemption = new Preemption();
     for (JobEntry entry : ranked) {
       if (entry.writing || entry.aborted || entry.aborting) {
+        left |= entry.writing && entry.dirty;
         continue;
       }
       int before = entry.placed.size();
       if (mayPlace(entry)) {
         place(entry, preemption);
       }
-      if (entry.dirty) {
-        jobs.write(entry, entry.placed.size() > before ? Urgency.START : Urgency.DONE);
+      boolean starts = entry.placed.size() > before;
+      if (starts || (entry.dirty && context.nowMs - entry.writtenMs >= collectMs())) {
+        jobs.write(entry, starts ? Urgency.START : Urgency.DONE);
       }
+      left |= entry.dirty;
     }
+    return left;
+  }
+
+  private long collectMs() {
+    return (long) (context.reportMs() * context.settings.operator().roundShare());
   }
 
   private boolean mayPlace(JobEntry entry) {
