Small arrays go before larger ones that came a little earlier

Among arrays of one rank the turn is now the time of arrival plus up to half of the class's shortest time to finish, in proportion to the tasks that wait. Excluded: the order of services, which is as before; starvation (no array yields longer than that).

--- a/src/main/java/eiderfork/core/JobBook.java
+++ b/src/main/java/eiderfork/core/JobBook.java
@@ -80,7 +80,7 @@
       return known;
     }
     Backoff backoff = new Backoff(context.reportMs() / 5, context.reportMs() * 2);
-    JobEntry entry = new JobEntry(job, order, backoff);
+    JobEntry entry = new JobEntry(job, order, context.nowMs, backoff);
     jobs.put(job.uid(), entry);
     active.put(job.uid(), entry);
     return entry;
--- a/src/main/java/eiderfork/core/JobEntry.java
+++ b/src/main/java/eiderfork/core/JobEntry.java
@@ -19,6 +19,9 @@
   /** Jobs of one rank go in the order in which the state service took them. */
   final long order;
 
+  /** Since when this leader knows the job. */
+  final long sinceMs;
+
   /** What the state service holds, and the stamp it holds it under. */
   Record.Alloc committed = Record.Alloc.EMPTY;
 
@@ -63,9 +66,10 @@
   int failures;
   long notBeforeMs;
 
-  JobEntry(Job job, long order, Backoff writeBackoff) {
+  JobEntry(Job job, long order, long sinceMs, Backoff writeBackoff) {
     this.job = job;
     this.order = order;
+    this.sinceMs = sinceMs;
     this.writeBackoff = writeBackoff;
     waiting.set(0, job.tasks());
   }
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -9,6 +9,8 @@
 import eiderfork.model.Resources;
 import eiderfork.model.TaskReport;
 import eiderfork.model.Team;
+import it.unimi.dsi.fastutil.objects.Object2LongMap;
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -39,6 +41,9 @@
   /** A stranded GPU weighs as much as an image wait of this many reports. */
   private static final double STRANDED_STEPS = 100;
 
+  /** The share of its class's time to finish that an array may yield to smaller ones. */
+  private static final double YIELD_SHARE = 0.5;
+
   /** How many report intervals a replica is away while it moves. */
   private static final double MOVE_REPORTS = 2;
 
@@ -168,13 +173,39 @@
       Resources all = usedByTeam.getOrDefault(job.team(), Resources.NONE).plus(wanted);
       guaranteed.put(entry, team != null && team.withinGuarantee(all));
     }
+    int mostTasks = 1;
+    for (JobEntry entry : ranked) {
+      if (entry.job.kind() == JobKind.ARRAY) {
+        mostTasks = Math.max(mostTasks, entry.waiting.cardinality());
+      }
+    }
+    Object2LongMap<JobEntry> turns = new Object2LongOpenHashMap<>();
+    for (JobEntry entry : ranked) {
+      turns.put(entry, turnMs(entry, mostTasks));
+    }
     ranked.sort(
         Comparator.comparing((JobEntry entry) -> !guaranteed.get(entry))
             .thenComparing(entry -> entry.job.priority())
+            .thenComparingLong(turns::getLong)
             .thenComparingLong(entry -> entry.order));
     return ranked;
   }
 
+  /**
+   * When a job's turn is among those of its rank. Small arrays go before larger ones that came a
+   * little earlier: they are sooner done, and the larger loses less by it. No array waits longer
+   * for that than half of the time in which its class should be finished.
+   */
+  private long turnMs(JobEntry entry, int mostTasks) {
+    if (entry.job.kind() != JobKind.ARRAY) {
+      return entry.sinceMs;
+    }
+    double leastS = aimS(entry.job, "finished");
+    double yieldS = leastS == Double.MAX_VALUE ? 0 : leastS * YIELD_SHARE;
+    return entry.sinceMs
+        + (long) (1000 * yieldS * entry.waiting.cardinality() / (double) mostTasks);
+  }
+
   private void place(JobEntry entry, Preemption preemption) {
     Job job = entry.job;
     Team team = context.settings.teams().get(job.team());
@@ -243,9 +274,14 @@
 
   /** How long a task of this class may wait for its start, by the users' aims. */
   private double waitAimS(Job job) {
+    return aimS(job, "wait");
+  }
+
+  /** The shortest time of the users' aims of this kind for the job's class. */
+  private double aimS(Job job, String kind) {
     double least = Double.MAX_VALUE;
     for (Settings.Objective aim : context.settings.objectives()) {
-      if (aim.kind().equals("wait") && aim.jobClass().equals(job.jobClass())) {
+      if (aim.kind().equals(kind) && aim.jobClass().equals(job.jobClass())) {
         least = Math.min(least, aim.withinS());
       }
     }
--- a/src/test/java/eiderfork/core/ScenarioTest.java
+++ b/src/test/java/eiderfork/core/ScenarioTest.java
@@ -282,6 +282,24 @@
     assertNull(world.checker.finalStance(job.uid()));
   }
 
+  @Test
+  void smallArraysGoBeforeLargeOnesForAWhileOnly() {
+    world.capacity = 1;
+    submit(World.job(1, JobKind.SERVICE, 1, 0));
+    world.run(20);
+    Job large = submit(World.job(2, JobKind.ARRAY, 60, 2));
+    world.run(1);
+    Job small = submit(World.job(3, JobKind.ARRAY, 4, 2));
+    world.run(25);
+    assertTrue(world.checker.isDone(small.uid()));
+    assertFalse(world.checker.isDone(large.uid()));
+    for (int i = 4; i < 40; i++) {
+      submit(World.job(i, JobKind.ARRAY, 8, 2));
+      world.run(2);
+    }
+    assertTrue(world.checker.isDone(large.uid()), "the large one has its turn");
+  }
+
   @Test
   void aFullTeamWaitsForItsLimit() {
     Job first = submit(World.job(1, JobKind.SERVICE, 5, 2, "red", Priority.HIGH, false, false));
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -115,7 +115,9 @@
         new Settings.Endpoint("10.2.0.2", 8443),
         new Settings.Endpoint("10.2.0.1", 2379),
         ImmutableMap.of("red", new Team("red", 0, 0, 4, 10), "blue", new Team("blue", 0, 0, 0, 0)),
-        ImmutableList.of(new Settings.Objective("wait", "web", 5, 0.9)),
+        ImmutableList.of(
+            new Settings.Objective("wait", "web", 5, 0.9),
+            new Settings.Objective("finished", "batch", 40, 0.9)),
         new Settings.Workers(1, 10, 30),
         new Settings.StateLimits(200, 40, 8),
         new Settings.CloudLimits(2, 4),
