Rents are reserved before submissions, and fewer and larger

Rents and returns now go out before submissions, and a plan reserves none while one waits for its turn at the cloud. Excluded: the cloud (no call refused), the machine types.

--- a/src/main/java/eiderfork/core/Cloud.java
+++ b/src/main/java/eiderfork/core/Cloud.java
@@ -34,6 +34,7 @@
     final Record.Rent record;
     ImmutableList<String> machines;
     boolean committed;
+    boolean asked;
     boolean asking;
     long nextMs;
     final Backoff backoff;
@@ -142,6 +143,16 @@
     return open;
   }
 
+  /** Whether a rent is reserved that the cloud has not been asked for, for want of its turn. */
+  boolean rentsWait() {
+    for (Rent rent : rents.values()) {
+      if (!rent.asked) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   boolean inStock(Kind kind) {
     return emptyUntilMs.getOrDefault(kind, 0L) <= context.nowMs;
   }
@@ -179,7 +190,7 @@
         new StateOp.Transact(
             ImmutableList.of(term.condition(), new StateOp.Condition(key, 0)),
             ImmutableList.of(StateOp.Change.put(key, record))),
-        Urgency.START,
+        Urgency.FLEET,
         reply -> {
           if (!live.getAsBoolean() || !term.leading()) {
             return;
@@ -292,6 +303,7 @@
 
   private void ask(Rent rent) {
     rent.asking = true;
+    rent.asked = true;
     Record.Rent record = rent.record;
     Kind kind = new Kind(record.type(), record.zone(), record.spot());
     context.ask(
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -298,7 +298,9 @@
   }
 
   private void rent(List<Bin> wanted) {
-    if (!cloud.listed()) {
+    // Demand that grows while rents wait for their turn at the cloud is put into the next ones:
+    // many small rents once took 25 s to ask for what a dozen larger ones bring.
+    if (!cloud.listed() || cloud.rentsWait()) {
       return;
     }
     Map<Cloud.Kind, Integer> counts = new LinkedHashMap<>();
--- a/src/main/java/eiderfork/core/Urgency.java
+++ b/src/main/java/eiderfork/core/Urgency.java
@@ -4,6 +4,8 @@
 enum Urgency {
   LEASE,
   ABORT,
+  /** Rents and returns: few, held down by the cloud's limit, and a boot's time ahead of starts. */
+  FLEET,
   SUBMIT,
   START,
   DONE,
--- a/src/test/java/eiderfork/core/ScenarioTest.java
+++ b/src/test/java/eiderfork/core/ScenarioTest.java
@@ -156,6 +156,16 @@
     assertEquals(4, world.checker.running(job.uid()), "before a worker's lease lapses");
   }
 
+  @Test
+  void manySubmissionsDoNotHoldRentsUp() {
+    world.run(3);
+    for (int i = 1; i <= 400; i++) {
+      submit(World.job(i, JobKind.SERVICE, 1, 1));
+      world.run(0.005);
+    }
+    assertTrue(world.liveHosts() > 2, "machines are on their way while submissions queue");
+  }
+
   @Test
   void aMachineThatDiesIsReplaced() {
     Job job = submit(World.job(1, JobKind.SERVICE, 4, 2));
