Headroom follows recent arrivals and the size of the jobs that come

Cause: headroom was the root of twice the tasks expected within a boot, over all arrivals since the leader began. Now a class's headroom is the root of twice the squares of its jobs' tasks that are expected within a boot, seen over the last two boot times.

--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -45,10 +45,24 @@
   /** A returned machine costs this long at least. */
   static final long MIN_CHARGE_MS = 60_000;
 
-  /** What a class of jobs has asked for so far. */
+  /** The time that arrivals are remembered for, in boot times of the machines they need. */
+  private static final double MEMORY_BOOTS = 2;
+
+  /** What a class of jobs has asked for lately; what is longer ago fades. */
   private static final class Arrivals {
     Job sample;
-    double tasks;
+
+    /** The sum of the squares of the jobs' tasks: a job's tasks come all at once. */
+    double squares;
+
+    long atMs;
+
+    void fade(long nowMs, double memoryMs) {
+      if (memoryMs > 0) {
+        squares *= Math.exp(-(nowMs - atMs) / memoryMs);
+        atMs = nowMs;
+      }
+    }
   }
 
   private final Context context;
@@ -82,7 +96,8 @@
   void arrived(Job job) {
     Arrivals a = arrivals.computeIfAbsent(job.jobClass(), c -> new Arrivals());
     a.sample = job;
-    a.tasks += job.tasks();
+    a.fade(context.nowMs, bootMs(a) * MEMORY_BOOTS);
+    a.squares += (double) job.tasks() * job.tasks();
   }
 
   /** How many looks at a machine the last plan took. */
@@ -281,20 +296,32 @@
     perZone.merge(bin.kind.zone(), 1, Integer::sum);
   }
 
-  /** How many tasks of a class to be ready for: the spread of its arrivals within a boot time. */
+  /**
+   * How many tasks of a class to be ready for: the spread of its arrivals within a boot time. Jobs
+   * come by chance and each with all of its tasks, so the variance is the sum of their squares.
+   */
   private int headroom(Arrivals a) {
-    if (a.sample.kind() != JobKind.SERVICE) {
+    double bootMs = bootMs(a);
+    if (a.sample.kind() != JobKind.SERVICE || bootMs <= 0) {
       return 0;
     }
-    double bootS =
-        fleet.types().values().stream()
-            .filter(type -> a.sample.allowsType(type.name()) && a.sample.need().fitsIn(type.room()))
-            .mapToDouble(MachineType::bootS)
-            .max()
-            .orElse(0);
-    double sinceS = Math.max(bootS, (context.nowMs - arrivalsSinceMs) / 1000.0);
-    double expected = a.tasks / sinceS * bootS;
-    return (int) Math.ceil(context.settings.operator().headroom() * Math.sqrt(2 * expected));
+    double memoryMs = bootMs * MEMORY_BOOTS;
+    a.fade(context.nowMs, memoryMs);
+    double sinceMs = Math.max(bootMs, context.nowMs - arrivalsSinceMs);
+    double seenMs = memoryMs * (1 - Math.exp(-sinceMs / memoryMs));
+    double variance = a.squares / seenMs * bootMs;
+    return (int) Math.ceil(context.settings.operator().headroom() * Math.sqrt(2 * variance));
+  }
+
+  /** The longest boot of a machine that the class's tasks fit on. */
+  private double bootMs(Arrivals a) {
+    double bootS = 0;
+    for (MachineType type : fleet.types().values()) {
+      if (a.sample.allowsType(type.name()) && a.sample.need().fitsIn(type.room())) {
+        bootS = Math.max(bootS, type.bootS());
+      }
+    }
+    return bootS * 1000;
   }
 
   private void rent(List<Bin> wanted) {
