--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -3,9 +3,11 @@
 import eiderfork.config.Settings;
 import eiderfork.model.Record;
 import eiderfork.model.Report;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
@@ -48,6 +50,8 @@
 
   private long deafCheckMs;
 
+  private final Queue<Parked> parked = new ArrayDeque<>();
+
   public Controller(Settings settings, RandomGenerator random, long nowMs) {
     context = new Context(settings, random, nowMs);
     gate = new StateGate(context);
@@ -86,11 +90,17 @@
     } else if (input instanceof Input.HealthCheck it) {
       health(it.ticket());
     }
+    unpark();
     gate.pump();
     round();
     return context.takeEffects();
   }
 
+  /** How many looks at a machine the last round and the last plan took. */
+  int looks() {
+    return placer.looks() + planner.looks();
+  }
+
   private void user(long ticket, Input request, boolean passOn) {
     users.take(request, passOn, answer -> context.emit(new Effect.AnswerUser(ticket, answer)));
   }
@@ -175,11 +185,37 @@
     heardMs.put(report.machine().name(), context.nowMs);
     if (term.leading() && (term.sure() || mayHold())) {
       workers.report(ticket, report);
+    } else if (!term.leading() && term.leader() == null) {
+      parked.add(new Parked(ticket, report, context.nowMs));
     } else {
-      String leader = term.leader();
-      context.emit(
-          new Effect.RedirectWorker(
-              ticket, context.settings.node().equals(leader) ? null : leader));
+      redirect(ticket);
+    }
+  }
+
+  private void redirect(long ticket) {
+    String leader = term.leader();
+    context.emit(
+        new Effect.RedirectWorker(ticket, context.settings.node().equals(leader) ? null : leader));
+  }
+
+  /** A report that came while nobody was known to lead. */
+  private record Parked(long ticket, Report report, long sinceMs) {}
+
+  /**
+   * Answers the parked reports once a leader is known, or after a report interval. A worker turned
+   * away without a name tries the next node a second later, and after a crash of all nodes its
+   * lease has less than that left.
+   */
+  private void unpark() {
+    boolean known = term.leading() || term.leader() != null;
+    while (!parked.isEmpty()
+        && (known || context.nowMs - parked.peek().sinceMs >= context.reportMs())) {
+      Parked it = parked.remove();
+      if (term.leading()) {
+        workers.report(it.ticket, it.report);
+      } else {
+        redirect(it.ticket);
+      }
     }
   }
 
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -176,6 +176,7 @@
         (name, n) ->
             text.append(name).append(" ").append(n[0]).append("+").append(n[1]).append(" "));
     LOG.info("fleet: {}", text);
+    LOG.info("looked at machines {} times to place, {} to plan", placer.looks(), looks);
   }
 
   private List<Bin> bins() {
--- /dev/null
+++ b/src/test/java/eiderfork/core/ControllerTest.java
@@ -0,0 +1,61 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.model.Machine;
+import eiderfork.model.Record;
+import eiderfork.model.Report;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class ControllerTest {
+  private final Controller node = new Controller(World.settings("roost-0"), new Random(1), 0);
+  private final List<Effect> effects = new ArrayList<>();
+
+  private void take(long nowMs, Input input) {
+    effects.addAll(node.take(nowMs, input));
+  }
+
+  private static Input report(long ticket) {
+    Machine machine = new Machine("n-1", "n-1:1", "g4", "a", false);
+    return new Input.WorkerReport(ticket, new Report(machine, 1, 5, 3, null, ImmutableList.of()));
+  }
+
+  private List<Effect.RedirectWorker> redirects() {
+    return effects.stream()
+        .filter(Effect.RedirectWorker.class::isInstance)
+        .map(Effect.RedirectWorker.class::cast)
+        .toList();
+  }
+
+  /** Without a name a worker waits a second more, which its lease did not have after a crash. */
+  @Test
+  void aReportWaitsForTheLeadersNameButNotForLong() {
+    take(0, new Input.Tick());
+    take(10, report(7));
+    assertTrue(redirects().isEmpty());
+    long read =
+        effects.stream()
+            .filter(Effect.AskState.class::isInstance)
+            .map(Effect.AskState.class::cast)
+            .filter(ask -> ask.op().equals(new StateOp.Get(Keys.LEADER)))
+            .findFirst()
+            .orElseThrow()
+            .call();
+    take(300, new Input.Answered(read, new Reply.Value(new Record.Leadership("roost-2", 4), 9)));
+    assertEquals(List.of(new Effect.RedirectWorker(7, "roost-2")), redirects());
+  }
+
+  @Test
+  void aReportThatNobodyCanPlaceIsTurnedAwayAfterAnInterval() {
+    take(10, report(7));
+    take(900, new Input.Tick());
+    assertTrue(redirects().isEmpty());
+    take(1010, new Input.Tick());
+    assertEquals(List.of(new Effect.RedirectWorker(7, null)), redirects());
+  }
+}
--- /dev/null
+++ b/src/test/java/eiderfork/core/ScaleTest.java
@@ -0,0 +1,48 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Priority;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Work counted, not timed, at the size of a fleet of hundreds of machines. */
+class ScaleTest {
+  private static final int JOBS = 150;
+  private static final int TASKS = 16;
+
+  @Test
+  void theWorkOfARoundGrowsWithJobsTimesMachinesAndNotWithTasks() {
+    World world = new World(3);
+    world.capacity = 40;
+    world.run(3);
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 0; i < JOBS; i++) {
+      Job job = World.job(i, JobKind.SERVICE, TASKS, 1, "blue", Priority.HIGH, false, true);
+      jobs.add(job);
+      world.submit(job);
+    }
+    int most = 0;
+    for (int i = 0; i < 800; i++) {
+      world.run(0.05);
+      for (Controller node : world.nodes.values()) {
+        most = Math.max(most, node.looks());
+      }
+    }
+    long machines = world.liveHosts();
+    long running = jobs.stream().mapToLong(job -> world.checker.running(job.uid())).sum();
+    assertTrue(machines >= 150, machines + " machines");
+    // Four kinds of the larger type, 40 machines each, with four tasks on a machine.
+    assertEquals(4 * 40 * 4, running);
+    // A round looks at each machine once for a job and once more for a task, and a plan does so at
+    // the machines that it wants as well.
+    long wanted = JOBS * TASKS / 4;
+    long bound = JOBS * (machines + wanted) + 2 * JOBS * TASKS;
+    assertTrue(most <= bound, most + " looks of " + bound);
+    assertEquals(List.of(), world.checker.breaches);
+  }
+}
