A smaller replica moves for one whose image would come too late elsewhere

Cause: half of a typograf job stands in the zone of the four-GPU type, which takes 30 s for its image of 68.7 GB; the aim is 18 s, and 20 s for work within a guarantee. The image is on some machines there, but rush replicas of one GPU have taken the room. Only replicas without GPUs were moved for that, and for one task of a job. Now, where the image comes too late anywhere with room (and only there), replicas of lower priority that have run for three leases and find room with their image in the same zone move as well, for as many tasks as wait.

--- a/src/main/java/eiderfork/core/Drain.java
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -27,7 +27,7 @@
   private static final double MOST_USED = 0.6;
 
   /** A start that is undone before this many leases have passed is of no use to its user. */
-  private static final int SETTLED_LEASES = 3;
+  static final int SETTLED_LEASES = 3;
 
   /** How many machines a plan tries to empty, the dearest for their tasks first. */
   private static final int TRIES = 8;
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -301,7 +301,8 @@
       return false;
     }
     entry.soughtBetter = true;
-    return preemption.makeRoom(entry, 1, perZone, waitAimS(entry.job));
+    return preemption.makeRoom(entry, entry.waiting.cardinality(), perZone, waitAimS(entry.job))
+        > 0;
   }
 
   /** The key of tasks in {@link #zonesOf} whose machine is known by name only. */
@@ -471,13 +472,14 @@
     private boolean mayStop;
 
     /**
-     * Whether room was found, on machines where the image comes within {@code imageS}. For a better
-     * place than there is, only replicas are moved: what an array has done is worth more.
+     * For how many tasks room was found, on machines where the image comes within {@code imageS}.
+     * For a better place than there is, only replicas are moved: what an array has done is worth
+     * more.
      */
-    boolean makeRoom(JobEntry entry, int wanted, Map<String, Integer> perZone, double imageS) {
+    int makeRoom(JobEntry entry, int wanted, Map<String, Integer> perZone, double imageS) {
       Job job = entry.job;
       if (job.kind() == JobKind.ARRAY) {
-        return false;
+        return 0;
       }
       mayStop = imageS == Double.MAX_VALUE;
       for (int i = 0; i < wanted; i++) {
@@ -499,7 +501,7 @@
           }
         }
         if (target == null) {
-          return false;
+          return i;
         }
         for (Placed p : targetVictims) {
           LOG.info("stopping {} on {} for {}", p.id(), target.name, job.uid());
@@ -509,7 +511,7 @@
         claim(new Claim(entry, target, context.nowMs + context.leaseMs() / 2));
         perZone.merge(target.zone(), 1, Integer::sum);
       }
-      return true;
+      return wanted;
     }
 
     /** The tasks to stop on a machine so that one of {@code job} fits, or null. */
@@ -568,7 +570,8 @@
         if (m == p.machine
             || !m.zone().equals(p.machine.zone())
             || !job.allowsType(m.machine.type())
-            || (m.machine.spot() && !job.spot())) {
+            || (m.machine.spot() && !job.spot())
+            || imageWaitS(job, m) > context.settings.workers().reportS()) {
           continue;
         }
         Resources left = e.getValue().minus(filling.getOrDefault(m, Resources.NONE));
@@ -593,11 +596,16 @@
         double lostS = its.checkpointS() > 0 ? Math.min(ranS, its.checkpointS()) : ranS;
         return lostS * weight;
       }
-      // Replicas on GPUs stay: their images are large, and where GPUs run short the room that
-      // moving them makes is taken from smaller jobs that wait as well.
+      // Replicas on GPUs stay where there is no room at all: what moving them makes is taken from
+      // smaller jobs that wait as well. They move for an image that would come too late, once they
+      // have run for long enough to count as started.
+      boolean gpusMove =
+          !mayStop
+              && its.priority().compareTo(job.priority()) > 0
+              && context.nowMs - p.runningSinceMs > Drain.SETTLED_LEASES * context.leaseMs();
       boolean movable =
           its.kind() == JobKind.SERVICE
-              && its.need().gpus() <= 0
+              && (its.need().gpus() <= 0 || gpusMove)
               && p.seen == TaskReport.State.RUNNING
               && its.need().shareOf(p.machine.room) < job.need().shareOf(p.machine.room)
               && context.nowMs - p.runningSinceMs > context.leaseMs();
--- a/src/test/java/eiderfork/core/ScenarioTest.java
+++ b/src/test/java/eiderfork/core/ScenarioTest.java
@@ -207,6 +207,38 @@
     assertEquals(running, world.checker.runningTasks());
   }
 
+  @Test
+  void aReplicaMovesForOneThatWouldFetchForTooLongElsewhere() {
+    world.capacity = 2;
+    Job first = submit(large(1, 3));
+    world.run(35);
+    Job small = submit(World.job(2, JobKind.SERVICE, 1, 1));
+    world.run(5);
+    submit(World.job(3, JobKind.SERVICE, 1, 1));
+    world.run(45);
+    submit(World.job(5, JobKind.SERVICE, 1, 1));
+    world.addHost("g4", "a", false, 100);
+    world.run(3);
+    world.abort(first.uid());
+    world.run(1.2);
+    FakeWorker cached =
+        world.workers().stream()
+            .filter(w -> w.present().stream().anyMatch(t -> t.job().equals(small.uid())))
+            .findFirst()
+            .orElseThrow();
+    Job next = submit(large(4, 4));
+    world.run(5);
+    assertTrue(cached.present().stream().anyMatch(t -> t.job().equals(next.uid())));
+    assertEquals(1, world.checker.running(next.uid()), "the image comes too late elsewhere");
+    assertEquals(1, world.checker.running(small.uid()));
+  }
+
+  /** A replica whose image takes 10 s to fetch, twice as long as its class may wait. */
+  private static Job large(int number, double gpus) {
+    return World.job(
+        number, JobKind.SERVICE, 1, gpus, "blue", Priority.PRODUCTION, false, false, "large", 20);
+  }
+
   @Test
   void anUnexpectedMachineIsGivenBack() {
     submit(World.job(1, JobKind.SERVICE, 1, 1));
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -130,7 +130,7 @@
   }
 
   static Job job(int number, JobKind kind, int tasks, double gpus, String image) {
-    return job(number, kind, tasks, gpus, "blue", Priority.HIGH, false, false, image);
+    return job(number, kind, tasks, gpus, "blue", Priority.HIGH, false, false, image, 1);
   }
 
   static Job job(
@@ -142,10 +142,10 @@
       Priority priority,
       boolean spread,
       boolean spot) {
-    return job(number, kind, tasks, gpus, team, priority, spread, spot, "img");
+    return job(number, kind, tasks, gpus, team, priority, spread, spot, "img", 1);
   }
 
-  private static Job job(
+  static Job job(
       int number,
       JobKind kind,
       int tasks,
@@ -154,7 +154,8 @@
       Priority priority,
       boolean spread,
       boolean spot,
-      String image) {
+      String image,
+      double imageGb) {
     return new Job(
         "run-%06d".formatted(number),
         kind == JobKind.SERVICE ? "web" : "batch",
@@ -169,7 +170,7 @@
         spread,
         spot,
         image,
-        1,
+        imageGb,
         kind == JobKind.SERVICE ? 0 : 4,
         0,
         0,
