Outbound connections are bounded by a part of the sockets

Past the limit nobody connects. Kept connections and commands under way are now an eighth of the sockets each, of which machines that the new leader has yet to reach take half. Excluded: collections of the heap (1.6 to 1.8 s in 560 s on all nodes, with 40 MB or 72 MB of heap alike).

--- a/src/main/java/eiderfork/config/Settings.java
+++ b/src/main/java/eiderfork/config/Settings.java
@@ -35,8 +35,16 @@
 
   public record StateLimits(double rps, double writeRps, double valueKb) {}
 
-  /** What a controller's machine gives it: a share of one core. */
-  public record Controller(double cpuShare) {}
+  /** What a controller's machine gives it: a share of one core, and sockets. */
+  public record Controller(double cpuShare, int sockets) {
+    /** Workers and users come in on sockets of their own; this part is for what goes out. */
+    private static final int OUTBOUND_PART = 8;
+
+    /** How many connections may be kept, and how many workers commanded, at a time. */
+    public int outbound() {
+      return Math.max(1, sockets / OUTBOUND_PART);
+    }
+  }
 
   public record CloudLimits(double rps, double listLagS) {}
 }
--- a/src/main/java/eiderfork/config/SettingsFile.java
+++ b/src/main/java/eiderfork/config/SettingsFile.java
@@ -85,6 +85,7 @@
     String inState = "deployment.state";
     String inCloud = "deployment.cloud";
     String inResources = "deployment.resources";
+    JsonNode resources = table(deployment, "deployment", "resources");
     double reportS = positive(workers, inWorkers, "report_s");
     double leaseS = positive(workers, inWorkers, "lease_s");
     double cancelS = positive(workers, inWorkers, "cancel_s");
@@ -122,7 +123,8 @@
         new Settings.CloudLimits(
             positive(cloud, inCloud, "rps"), positive(cloud, inCloud, "list_lag_s")),
         new Settings.Controller(
-            positive(table(deployment, "deployment", "resources"), inResources, "cpu_share")),
+            positive(resources, inResources, "cpu_share"),
+            (int) positive(resources, inResources, "sockets")),
         operator);
   }
 
--- a/src/main/java/eiderfork/core/Workers.java
+++ b/src/main/java/eiderfork/core/Workers.java
@@ -305,23 +305,31 @@
   }
 
   void tick() {
+    // Every worker turns to a new leader at once, and commands go out beside that; without a bound
+    // on them the sockets ran out, and nobody could connect.
+    int free = context.settings.controller().outbound();
+    int forCommands = free / 2;
+    for (MachineEntry m : fleet.machines()) {
+      free -= m.commanding ? 1 : 0;
+    }
     for (MachineEntry m : List.copyOf(fleet.machines())) {
       if (m.report != null && shown(m) && !m.placed.isEmpty() && lapsed(m)) {
         LOG.info("machine {}: its lease has lapsed", m.name);
         fleet.settleAll(m);
         kick.run();
       }
-      if (m.addr() == null || m.commanding || context.nowMs < m.commandNotBeforeMs) {
+      if (m.addr() == null || m.commanding || context.nowMs < m.commandNotBeforeMs || free <= 0) {
         continue;
       }
       if (m.report == null || !shown(m)) {
         // Reached directly, so that an older leader's warrant ends there soon.
-        if (!m.booting && context.nowMs - electedMs > context.reportMs()) {
+        if (!m.booting && context.nowMs - electedMs > context.reportMs() && free > forCommands) {
           reach(m);
         }
       } else if (m.urgent && term.sure() && rebuilt && heard(m)) {
         command(m);
       }
+      free -= m.commanding ? 1 : 0;
     }
   }
 
--- a/src/main/java/eiderfork/net/HttpClient.java
+++ b/src/main/java/eiderfork/net/HttpClient.java
@@ -24,7 +24,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -44,14 +46,21 @@
     void take(int status, byte[] body);
   }
 
-  private record Kept(Channel channel, long sinceMs) {}
+  private record Kept(Endpoint to, Channel channel, long sinceMs) {}
 
   private final EventLoop loop;
   private final Bootstrap bootstrap;
   private final Map<Endpoint, Deque<Kept>> kept = new HashMap<>();
 
-  HttpClient(EventLoop loop) {
+  /** All kept connections, the one longest unused first. */
+  private final Set<Kept> oldest = new LinkedHashSet<>();
+
+  private final int mostKept;
+
+  /** A client that keeps up to {@code mostKept} connections open while they are not in use. */
+  HttpClient(EventLoop loop, int mostKept) {
     this.loop = loop;
+    this.mostKept = mostKept;
     bootstrap =
         new Bootstrap()
             .group(loop)
@@ -95,9 +104,10 @@
   private Channel takeKept(Endpoint to) {
     Deque<Kept> open = kept.get(to);
     while (open != null && !open.isEmpty()) {
-      Channel channel = open.pollLast().channel;
-      if (channel.isActive()) {
-        return channel;
+      Kept last = open.pollLast();
+      oldest.remove(last);
+      if (last.channel.isActive()) {
+        return last.channel;
       }
     }
     return null;
@@ -107,22 +117,32 @@
     Deque<Kept> open = kept.computeIfAbsent(to, e -> new ArrayDeque<>());
     if (open.size() >= KEPT) {
       channel.close();
-    } else {
-      open.addLast(new Kept(channel, System.nanoTime() / 1_000_000));
+      return;
+    }
+    Kept fresh = new Kept(to, channel, System.nanoTime() / 1_000_000);
+    open.addLast(fresh);
+    oldest.add(fresh);
+    if (oldest.size() > mostKept) {
+      close(oldest.iterator().next());
     }
   }
 
+  private void close(Kept it) {
+    oldest.remove(it);
+    Deque<Kept> open = kept.get(it.to);
+    open.remove(it);
+    if (open.isEmpty()) {
+      kept.remove(it.to);
+    }
+    it.channel.close();
+  }
+
   /** Closes connections that nothing has used for a while. */
   void sweep() {
     long nowMs = System.nanoTime() / 1_000_000;
-    kept.values()
-        .removeIf(
-            open -> {
-              while (!open.isEmpty() && nowMs - open.peekFirst().sinceMs > KEPT_MS) {
-                open.pollFirst().channel.close();
-              }
-              return open.isEmpty();
-            });
+    while (!oldest.isEmpty() && nowMs - oldest.iterator().next().sinceMs > KEPT_MS) {
+      close(oldest.iterator().next());
+    }
   }
 
   private final class Call {
--- a/src/main/java/eiderfork/net/Node.java
+++ b/src/main/java/eiderfork/net/Node.java
@@ -33,7 +33,7 @@
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
-  private final HttpClient client = new HttpClient(loop);
+  private final HttpClient client;
   private final Controller controller;
   private final Long2ObjectOpenHashMap<HttpServer.Exchange> open = new Long2ObjectOpenHashMap<>();
   private long tickets;
@@ -44,6 +44,7 @@
 
   public Node(Settings settings) {
     this.settings = settings;
+    client = new HttpClient(loop, settings.controller().outbound());
     controller = new Controller(settings, ThreadLocalRandom.current(), nowMs());
   }
 
--- a/src/main/java/eiderfork/net/Rehearsal.java
+++ b/src/main/java/eiderfork/net/Rehearsal.java
@@ -82,11 +82,12 @@
         list_lag_s = 0.1
         [deployment.resources]
         cpu_share = 0.2
+        sockets = 600
         """
             .formatted(publicPort, peerPort, services);
     Node node = new Node(SettingsFile.parse("rehearsal", settings, OperatorSettings.DEFAULTS));
     node.start();
-    HttpClient client = new HttpClient(group.next());
+    HttpClient client = new HttpClient(group.next(), 1);
     Endpoint to = new Endpoint("127.0.0.1", publicPort);
     for (int i = 1; i <= REPORTS; i++) {
       Thread.sleep(PAUSE_MS);
--- a/src/test/java/eiderfork/cli/ProcessTest.java
+++ b/src/test/java/eiderfork/cli/ProcessTest.java
@@ -93,6 +93,7 @@
         list_lag_s = 10.0
         [deployment.resources]
         cpu_share = 0.2
+        sockets = 600
         """
             .formatted(port, free(), free(), free());
     Path file = Files.writeString(folder.resolve("s.toml"), settings);
--- a/src/test/java/eiderfork/config/SettingsTest.java
+++ b/src/test/java/eiderfork/config/SettingsTest.java
@@ -48,6 +48,7 @@
       list_lag_s = 10.0
       [deployment.resources]
       cpu_share = 0.2
+      sockets = 600
       """;
 
   private static String complaint(String text) {
--- a/src/test/java/eiderfork/core/ControllerTest.java
+++ b/src/test/java/eiderfork/core/ControllerTest.java
@@ -50,6 +50,27 @@
     assertEquals(List.of(new Effect.RedirectWorker(7, "roost-2")), redirects());
   }
 
+  /** Commands to every machine at once, beside every worker's report, once took all sockets. */
+  @Test
+  void aNewLeaderReachesNoMoreMachinesAtOnceThanItsSocketsAllow() {
+    Context context = new Context(World.settings("roost-0"), new Random(1), 0);
+    StateGate gate = new StateGate(context);
+    Term term = new Term(context, gate, null);
+    JobBook jobs = new JobBook(context, gate, term);
+    Fleet fleet = new Fleet(context, jobs);
+    Workers workers = new Workers(context, term, jobs, fleet, () -> {});
+    for (int i = 0; i < 100; i++) {
+      fleet.known(new Machine("n-" + i, "n-" + i + ":1", "g4", "a", false));
+    }
+    workers.elected();
+    context.nowMs = 5000;
+    workers.tick();
+    int outbound = context.settings.controller().outbound();
+    assertEquals(outbound - outbound / 2, context.takeEffects().size());
+    workers.tick();
+    assertTrue(context.takeEffects().isEmpty(), "the rest waits for answers");
+  }
+
   @Test
   void aReportThatNobodyCanPlaceIsTurnedAwayAfterAnInterval() {
     take(10, report(7));
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -121,7 +121,7 @@
         new Settings.Workers(1, 10, 30),
         new Settings.StateLimits(200, 40, 8),
         new Settings.CloudLimits(2, 4),
-        new Settings.Controller(0.2),
+        new Settings.Controller(0.2, 160),
         OperatorSettings.DEFAULTS);
   }
 
