--- a/src/main/java/eiderfork/core/JobBook.java
+++ b/src/main/java/eiderfork/core/JobBook.java
@@ -175,8 +175,6 @@
       entry.failures = 0;
     } else {
       entry.waiting.set(p.index);
-      // A replica that was lost is worth looking for a better place again: it is away meanwhile.
-      entry.soughtBetter = false;
       if (entry.job.kind() == JobKind.GANG) {
         // The others can't go on without it; they start again together.
         for (Placed other : entry.placed.values()) {
--- a/src/main/java/eiderfork/core/JobEntry.java
+++ b/src/main/java/eiderfork/core/JobEntry.java
@@ -54,7 +54,7 @@
 
   final BitSet finished = new BitSet();
 
-  /** Room was sought where the image comes in time; once is enough for what waits. */
+  /** Room was sought where the image comes in time; once is enough. */
   boolean soughtBetter;
 
   /** Tasks neither placed nor finished. */
