Machines heard again are kept while the cloud refuses their return

Twelve machines hang from 169 to 199 s; after the takeover at 176 s the new leader decided at 196 s to return them, the cloud was out from 195 to 250 s, and so up to 13 machines stood neither used nor returned through the burst, and were lost and booted anew after it. A return that was decided for silence is called off when the machine is heard again, as long as every attempt at it was refused; one that was left unanswered may be carried out and stands. Excluded: processor time (the same without any charged), collections, sockets, the election (250 s in both).

--- a/src/main/java/eiderfork/core/Cloud.java
+++ b/src/main/java/eiderfork/core/Cloud.java
@@ -50,6 +50,10 @@
     final ImmutableList<String> machines;
     boolean committed;
     boolean asking;
+
+    /** It was asked for and not refused, so the machines may go at any time. */
+    boolean maybeDone;
+
     long nextMs;
     final Backoff backoff;
 
@@ -128,6 +132,7 @@
   void restoreReturn(String key, Record.Return record) {
     Return it = new Return(key, record.machines(), backoff());
     it.committed = true;
+    it.maybeDone = true;
     returns.put(key, it);
     record.machines().forEach(name -> fleet.known(name).returning = true);
   }
@@ -171,6 +176,42 @@
         () -> rents.remove(charter));
   }
 
+  /** Gives a machine back because nothing is heard of it; it is kept if that ends in time. */
+  void giveBackSilent(MachineEntry m, String why) {
+    m.returnedSilentMs = context.nowMs;
+    giveBack(m, why);
+  }
+
+  /**
+   * Keeps machines that are heard again before the cloud took their return: while it refuses all
+   * calls, machines that had only hung once stood unused until it answered, and were lost then.
+   */
+  private void keepRevived() {
+    toReturn.removeIf(this::revive);
+    for (Return it : List.copyOf(returns.values())) {
+      if (!it.committed || it.asking || it.maybeDone) {
+        continue;
+      }
+      List<String> others = new ArrayList<>(it.machines);
+      if (others.removeIf(this::revive)) {
+        returns.remove(it.key);
+        drop(it.key);
+        toReturn.addAll(others);
+      }
+    }
+  }
+
+  private boolean revive(String name) {
+    MachineEntry m = fleet.get(name);
+    if (m == null || m.returnedSilentMs == 0 || m.heardMs <= m.returnedSilentMs) {
+      return false;
+    }
+    LOG.info("keeping {}: it is heard again", name);
+    m.returning = false;
+    m.returnedSilentMs = 0;
+    return true;
+  }
+
   void giveBack(MachineEntry m, String why) {
     if (!m.returning) {
       LOG.info("returning {}: {}", m.name, why);
@@ -225,6 +266,7 @@
   }
 
   void tick() {
+    keepRevived();
     if (!toReturn.isEmpty()) {
       ImmutableList<String> batch =
           ImmutableList.copyOf(com.google.common.collect.Iterables.limit(toReturn, RETURN_MOST));
@@ -296,6 +338,7 @@
             }
             drop(it.key);
           } else {
+            it.maybeDone |= reply instanceof Reply.Unanswered;
             it.nextMs = context.nowMs + it.backoff.next(context.random);
           }
         });
--- a/src/main/java/eiderfork/core/MachineEntry.java
+++ b/src/main/java/eiderfork/core/MachineEntry.java
@@ -67,6 +67,9 @@
   /** A return is decided: nothing starts here any more. */
   boolean returning;
 
+  /** When its return was decided because nothing was heard of it; 0 for other reasons. */
+  long returnedSilentMs;
+
   /** Its replicas are being moved away, and nothing starts here. */
   boolean draining;
 
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -360,10 +360,10 @@
         cloud.giveBack(m, "faulty");
       } else if (m.report == null) {
         if (type != null && overdue(m, type, FAILED_BOOT)) {
-          cloud.giveBack(m, "it does not come up");
+          cloud.giveBackSilent(m, "it does not come up");
         }
       } else if (believe && workers.silentForMs(m) > PATIENCE_LEASES * context.leaseMs()) {
-        cloud.giveBack(m, "it is silent");
+        cloud.giveBackSilent(m, "it is silent");
       } else if (believe && workers.heard(m) && workers.deaf(m) && deafTooLong(m)) {
         cloud.giveBack(m, "commands do not reach it");
       } else if (m.placed.isEmpty() && m.tasks().isEmpty()) {
--- a/src/test/java/eiderfork/core/ScenarioTest.java
+++ b/src/test/java/eiderfork/core/ScenarioTest.java
@@ -239,6 +239,23 @@
         number, JobKind.SERVICE, 1, gpus, "blue", Priority.PRODUCTION, false, false, "large", 20);
   }
 
+  @Test
+  void aMachineHeardAgainWhileTheCloudIsOutIsKept() {
+    Job job = submit(World.job(1, JobKind.SERVICE, 4, 4));
+    world.run(30);
+    FakeWorker worker =
+        world.workers().stream().filter(w -> !w.present().isEmpty()).findFirst().orElseThrow();
+    worker.hanging = true;
+    world.cloudDown = true;
+    world.at(30_000, () -> worker.hanging = false);
+    world.run(40);
+    assertEquals(4, world.checker.running(job.uid()), "it runs there again");
+    world.cloudDown = false;
+    world.run(20);
+    assertFalse(worker.dead, "its return was called off");
+    assertEquals(4, world.checker.running(job.uid()));
+  }
+
   @Test
   void anUnexpectedMachineIsGivenBack() {
     submit(World.job(1, JobKind.SERVICE, 1, 1));
