--- a/src/main/java/eiderfork/core/Cloud.java
+++ b/src/main/java/eiderfork/core/Cloud.java
@@ -26,7 +26,7 @@
   /** Prices move slowly; they are read again after this many lags of the list. */
   private static final int TYPES_LAGS = 8;
 
-  /** The most machines that one return may name. */
+  /** The most machines that the protocol lets one return name. */
   private static final int RETURN_MOST = 100;
 
   /** How a rent stands. */
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -31,7 +31,7 @@
   /** A boot that takes this many times the usual will not end. */
   private static final double FAILED_BOOT = 4.0;
 
-  /** The most machines asked for in one rent. */
+  /** The most machines that the protocol lets one rent ask for. */
   private static final int RENT_MOST = 50;
 
   /**
