The log tells how long writes wait; headroom fades to nothing

Cause: how long each kind of write waits for its turn could not be read anywhere, and the headroom's root, rounded up, kept a machine for a task of each class for ever. Writes that went out are told by urgency, with mean and longest wait, beside the fleet; the headroom is rounded.

--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -61,7 +61,7 @@
     workers = new Workers(context, term, jobs, fleet, this::kick);
     placer = new Placer(context, term, gate, jobs, fleet, workers);
     cloud = new Cloud(context, term, gate, fleet);
-    planner = new Planner(context, jobs, fleet, workers, cloud, placer);
+    planner = new Planner(context, gate, jobs, fleet, workers, cloud, placer);
     peers = new Peers(context, term);
     fence = new Fence(gate, this::changed);
     users = new Users(context, term, gate, jobs, fleet, planner, fence, this::kick);
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -66,6 +66,7 @@
   }
 
   private final Context context;
+  private final StateGate gate;
   private final JobBook jobs;
   private final Fleet fleet;
   private final Workers workers;
@@ -77,8 +78,16 @@
   private long describeNextMs;
   private int looks;
 
-  Planner(Context context, JobBook jobs, Fleet fleet, Workers workers, Cloud cloud, Placer placer) {
+  Planner(
+      Context context,
+      StateGate gate,
+      JobBook jobs,
+      Fleet fleet,
+      Workers workers,
+      Cloud cloud,
+      Placer placer) {
     this.context = context;
+    this.gate = gate;
     this.jobs = jobs;
     this.fleet = fleet;
     this.workers = workers;
@@ -176,6 +185,7 @@
         (name, n) ->
             text.append(name).append(" ").append(n[0]).append("+").append(n[1]).append(" "));
     LOG.info("fleet: {}", text);
+    LOG.info("writes that went out: {}", gate.tellWaits());
     LOG.info("looked at machines {} times to place, {} to plan", placer.looks(), looks);
   }
 
@@ -311,7 +321,7 @@
     double sinceMs = Math.max(bootMs, context.nowMs - arrivalsSinceMs);
     double seenMs = memoryMs * (1 - Math.exp(-sinceMs / memoryMs));
     double variance = a.squares / seenMs * bootMs;
-    return (int) Math.ceil(context.settings.operator().headroom() * Math.sqrt(2 * variance));
+    return (int) Math.round(context.settings.operator().headroom() * Math.sqrt(2 * variance));
   }
 
   /** The longest boot of a machine that the class's tasks fit on. */
--- a/src/main/java/eiderfork/core/StateGate.java
+++ b/src/main/java/eiderfork/core/StateGate.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.EnumMap;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Queue;
 import java.util.function.Consumer;
@@ -20,12 +21,16 @@
    */
   private static final double LEADER_REQUESTS = 0.5;
 
-  private record Waiting(StateOp op, int writes, Consumer<Reply> then) {}
+  private record Waiting(StateOp op, int writes, long sinceMs, Consumer<Reply> then) {}
 
   private final Context context;
   private final TokenBucket requests;
   private final TokenBucket writes;
   private final Map<Urgency, Queue<Waiting>> queues = new EnumMap<>(Urgency.class);
+
+  /** How long the writes of each urgency waited for their turn since this was last told. */
+  private final Map<Urgency, LongSummaryStatistics> waits = new EnumMap<>(Urgency.class);
+
   private final int[] queuedWrites = new int[Urgency.values().length];
   private long lastServedMs;
 
@@ -35,6 +40,7 @@
     writes = new TokenBucket(1, 1, context.nowMs);
     for (Urgency urgency : Urgency.values()) {
       queues.put(urgency, new ArrayDeque<>());
+      waits.put(urgency, new LongSummaryStatistics());
     }
     lastServedMs = context.nowMs;
     leading(false);
@@ -55,7 +61,7 @@
 
   void send(StateOp op, Urgency urgency, Consumer<Reply> then) {
     int cost = op instanceof StateOp.Transact t ? t.changes().size() : 0;
-    queues.get(urgency).add(new Waiting(op, cost, then));
+    queues.get(urgency).add(new Waiting(op, cost, context.nowMs, then));
     queuedWrites[urgency.ordinal()] += cost;
     pump();
   }
@@ -78,6 +84,26 @@
     return (long) (1000 * ahead / requests.perS());
   }
 
+  /** Tells how long the writes of each urgency waited for their turn since the last time. */
+  String tellWaits() {
+    StringBuilder text = new StringBuilder();
+    waits.forEach(
+        (urgency, it) -> {
+          if (it.getCount() > 0) {
+            text.append(urgency)
+                .append(" ")
+                .append(it.getCount())
+                .append(" (mean ")
+                .append(Math.round(it.getAverage()))
+                .append(", most ")
+                .append(it.getMax())
+                .append(" ms) ");
+          }
+        });
+    waits.replaceAll((urgency, it) -> new LongSummaryStatistics());
+    return text.toString();
+  }
+
   long servedAgeMs() {
     return context.nowMs - lastServedMs;
   }
@@ -98,6 +124,9 @@
         requests.take(1, context.nowMs);
         queue.remove();
         queuedWrites[entry.getKey().ordinal()] -= next.writes;
+        if (next.writes > 0) {
+          waits.get(entry.getKey()).accept(context.nowMs - next.sinceMs);
+        }
         dispatch(next);
       }
     }
