--- a/src/main/java/eiderfork/core/Cloud.java
+++ b/src/main/java/eiderfork/core/Cloud.java
@@ -23,6 +23,9 @@
   /** The share of the cloud's limit that is used, so that a clock's drift never exceeds it. */
   private static final double RATE_SHARE = 0.9;
 
+  /** How long the cloud may take over a call, in paces. */
+  private static final int TIMEOUT_PACES = 5;
+
   /** Prices move slowly; they are read again after this many lags of the list. */
   private static final int TYPES_LAGS = 8;
 
@@ -101,7 +104,7 @@
   }
 
   private Backoff backoff() {
-    return new Backoff(context.reportMs(), context.listLagMs());
+    return new Backoff(context.paceMs(), context.listLagMs());
   }
 
   void clear() {
@@ -316,7 +319,7 @@
   }
 
   private long timeoutMs() {
-    return context.leaseMs() / 2;
+    return context.paceMs() * TIMEOUT_PACES;
   }
 
   private void ask(Return it) {
--- a/src/main/java/eiderfork/core/Context.java
+++ b/src/main/java/eiderfork/core/Context.java
@@ -54,6 +54,19 @@
     return (long) (settings.workers().reportS() * 1000);
   }
 
+  /**
+   * The step of all that somebody waits for, however seldom workers report: a quarter of the time
+   * that a worker waits for an answer, and half of what a user waits for one to a poll. Where it
+   * hung on the report interval, an interval of 4 s had users and workers wait past their time.
+   */
+  long paceMs() {
+    return Math.min(reportMs(), ANSWER_MS / 4);
+  }
+
+  double paceS() {
+    return paceMs() / 1000.0;
+  }
+
   long leaseMs() {
     return (long) (settings.workers().leaseS() * 1000);
   }
@@ -66,6 +79,9 @@
     return (long) (settings.cloudLimits().listLagS() * 1000);
   }
 
+  /** How long a worker waits for the answer to a report, by the protocol. */
+  private static final long ANSWER_MS = 4000;
+
   /** A steady clock may be off by this share; lapses are judged with twice that to spare. */
   static final double CLOCK_DRIFT = 0.001;
 
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -20,8 +20,8 @@
 public final class Controller implements Term.Listener {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
 
-  /** Ticks in a report interval: the finest grain of anything timed. */
-  public static final int TICKS_PER_REPORT = 20;
+  /** Ticks in a pace: the finest grain of anything timed. */
+  private static final int TICKS_PER_PACE = 20;
 
   private static final String[] REBUILT_FROM = {
     Keys.TYPES, Keys.JOB, Keys.ALLOC, Keys.ABORT, Keys.RENT, Keys.RETURN
@@ -96,6 +96,11 @@
     return context.takeEffects();
   }
 
+  /** How often the controller wants a tick. */
+  public long tickMs() {
+    return Math.max(1, context.paceMs() / TICKS_PER_PACE);
+  }
+
   /** How many looks at a machine the last round and the last plan took. */
   int looks() {
     return placer.looks() + planner.looks();
@@ -123,7 +128,7 @@
 
   /** A node that neither the state service nor any peer answers is cut off, and of no use. */
   private void health(long ticket) {
-    boolean served = gate.servedAgeMs() <= 2 * context.reportMs();
+    boolean served = gate.servedAgeMs() <= 2 * context.paceMs();
     boolean healthy = served || peers.anyReached();
     context.emit(
         new Effect.AnswerHealth(
@@ -142,7 +147,7 @@
         if (term.sure()) {
           cloud.tick();
           if (context.nowMs >= nextPlanMs && !fleet.types().isEmpty()) {
-            nextPlanMs = context.nowMs + context.reportMs();
+            nextPlanMs = context.nowMs + context.paceMs();
             planner.plan();
             roundWanted = true;
           }
@@ -160,7 +165,7 @@
   private void round() {
     if (roundWanted && rebuilt && term.sure() && context.nowMs >= nextRoundMs) {
       // A start should not wait for the round; ends are collected, see Placer.
-      nextRoundMs = context.nowMs + context.reportMs() / TICKS_PER_REPORT;
+      nextRoundMs = context.nowMs + tickMs();
       roundWanted = placer.round();
       workers.tick();
     }
@@ -171,7 +176,7 @@
     if (context.nowMs < deafCheckMs) {
       return;
     }
-    deafCheckMs = context.nowMs + context.reportMs();
+    deafCheckMs = context.nowMs + context.paceMs();
     int known = 0;
     int heard = 0;
     for (MachineEntry m : fleet.machines()) {
@@ -207,14 +212,14 @@
   private record Parked(long ticket, Report report, long sinceMs) {}
 
   /**
-   * Answers the parked reports once a leader is known, or after a report interval. A worker turned
-   * away without a name tries the next node a second later, and after a crash of all nodes its
-   * lease has less than that left.
+   * Answers the parked reports once a leader is known, or after a pace. A worker turned away
+   * without a name tries the next node a second later, and after a crash of all nodes its lease has
+   * less than that left.
    */
   private void unpark() {
     boolean known = term.leading() || term.leader() != null;
     while (!parked.isEmpty()
-        && (known || context.nowMs - parked.peek().sinceMs >= context.reportMs())) {
+        && (known || context.nowMs - parked.peek().sinceMs >= context.paceMs())) {
       Parked it = parked.remove();
       if (term.leading()) {
         workers.report(it.ticket, it.report);
@@ -230,7 +235,7 @@
    * service, this ends early enough for the last lease to lapse within the cancellation time.
    */
   private boolean mayHold() {
-    long most = context.cancelMs() - Context.surely(context.leaseMs()) - 2 * context.reportMs();
+    long most = context.cancelMs() - Context.surely(context.leaseMs()) - 2 * context.paceMs();
     return term.unsureMs() < most || peers.allWithoutState();
   }
 
@@ -341,7 +346,7 @@
   private void follow(String prefix, long number, long revision) {
     gate.send(
         // Short, so that a lost reply does not leave memory behind for long.
-        new StateOp.Watch(prefix, revision, 2 * context.reportMs()),
+        new StateOp.Watch(prefix, revision, 2 * context.paceMs()),
         Urgency.SUBMIT,
         reply -> {
           if (!still(number)) {
--- a/src/main/java/eiderfork/core/Drain.java
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -26,8 +26,11 @@
   /** The most of a machine that may be in use for it to be emptied. */
   private static final double MOST_USED = 0.6;
 
-  /** A start that is undone before this many leases have passed is of no use to its user. */
-  static final int SETTLED_LEASES = 3;
+  /** A start that is undone before this time has passed does not count, by the protocol. */
+  static final long SETTLED_MS = 30_000;
+
+  /** How long an emptying may take before the machine is used again, in paces. */
+  private static final int EMPTYING_PACES = 10;
 
   /** How many machines a plan tries to empty, the dearest for their tasks first. */
   private static final int TRIES = 8;
@@ -48,7 +51,7 @@
   void plan(List<Bin> bins, boolean growing) {
     boolean busy = false;
     for (MachineEntry m : fleet.machines()) {
-      if (m.draining && context.nowMs - m.drainingSinceMs > context.leaseMs()) {
+      if (m.draining && context.nowMs - m.drainingSinceMs > EMPTYING_PACES * context.paceMs()) {
         // Something holds on to it; it is used again.
         m.draining = m.returning;
       }
@@ -113,7 +116,7 @@
               && p.committed
               && p.wanted()
               && p.seen == TaskReport.State.RUNNING
-              && context.nowMs - p.runningSinceMs > SETTLED_LEASES * context.leaseMs();
+              && context.nowMs - p.runningSinceMs > SETTLED_MS;
       if (!settled) {
         return false;
       }
@@ -155,7 +158,7 @@
         && job.allowsType(to.kind.type())
         && (job.spot() || !to.kind.spot())
         && to.left.shareOf(to.room) <= from.left.shareOf(from.room)
-        && placer.imageWaitS(job, to.machine) <= context.settings.workers().reportS();
+        && placer.imageWaitS(job, to.machine) <= context.paceS();
   }
 
   private void empty(MachineEntry m) {
--- a/src/main/java/eiderfork/core/JobBook.java
+++ b/src/main/java/eiderfork/core/JobBook.java
@@ -83,7 +83,7 @@
     if (known != null) {
       return known;
     }
-    Backoff backoff = new Backoff(context.reportMs() / 5, context.reportMs() * 2);
+    Backoff backoff = new Backoff(context.paceMs() / 5, context.paceMs() * 2);
     Shape shape = shapes.computeIfAbsent(Shape.of(job), s -> s);
     JobEntry entry = new JobEntry(job, shape, order, context.nowMs, backoff);
     jobs.put(job.uid(), entry);
--- a/src/main/java/eiderfork/core/Peers.java
+++ b/src/main/java/eiderfork/core/Peers.java
@@ -6,7 +6,7 @@
 
 /** What the peers say of themselves, and what this node tells them. */
 final class Peers {
-  /** A ping each report interval; this many may be missed before a peer counts as out of reach. */
+  /** A ping each pace; this many may be missed before a peer counts as out of reach. */
   private static final double REACH_PINGS = 3;
 
   private record Seen(PeerView view, long atMs) {}
@@ -22,21 +22,21 @@
     this.term = term;
     // Election and first answers come before the first ping, which loads Avro: on a sliver of a
     // core that takes as long as the election.
-    nextMs = context.nowMs + context.leaseMs() / 4;
+    nextMs = context.nowMs + context.paceMs() * 5 / 2;
   }
 
   void tick(PeerView own) {
     if (context.nowMs < nextMs) {
       return;
     }
-    nextMs = context.nowMs + context.reportMs();
+    nextMs = context.nowMs + context.paceMs();
     for (String node : context.settings.peers().keySet()) {
       if (asking.getOrDefault(node, false)) {
         continue;
       }
       asking.put(node, true);
       context.ask(
-          call -> new Effect.AskPeerPing(call, node, own, context.reportMs()),
+          call -> new Effect.AskPeerPing(call, node, own, context.paceMs()),
           reply -> {
             asking.put(node, false);
             if (reply instanceof Reply.PeerSays says) {
@@ -58,7 +58,7 @@
   }
 
   private boolean fresh(Seen it) {
-    return it != null && context.nowMs - it.atMs <= context.reportMs() * REACH_PINGS;
+    return it != null && context.nowMs - it.atMs <= context.paceMs() * REACH_PINGS;
   }
 
   /** Whether any peer has been heard lately. */
@@ -70,7 +70,7 @@
   boolean allWithoutState() {
     for (String node : context.settings.peers().keySet()) {
       Seen it = seen.get(node);
-      if (!fresh(it) || it.view.stateAgeMs() < context.reportMs() * REACH_PINGS) {
+      if (!fresh(it) || it.view.stateAgeMs() < context.paceMs() * REACH_PINGS) {
         return false;
       }
     }
@@ -84,6 +84,6 @@
             it ->
                 fresh(it)
                     && it.view.machinesHeard() > count
-                    && it.view.stateAgeMs() < context.reportMs() * REACH_PINGS);
+                    && it.view.stateAgeMs() < context.paceMs() * REACH_PINGS);
   }
 }
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -36,22 +36,28 @@
   private static final double LOOKS_PER_CORE_S = 1_000_000;
 
   /**
-   * The share of a report interval that the searches of a round may take; past it each further job
-   * looks at a sample of machines only.
+   * The share of a pace that the searches of a round may take; past it each further job looks at a
+   * sample of machines only.
    */
   private static final double SEARCH_SHARE = 0.1;
 
   /** How many machines a sample has for each task. */
   private static final int SAMPLE = 8;
 
-  /** A stranded GPU weighs as much as an image wait of this many reports. */
+  /** A stranded GPU weighs as much as an image wait of this many paces. */
   private static final double STRANDED_STEPS = 100;
 
   /** The share of its class's time to finish that an array may yield to smaller ones. */
   private static final double YIELD_SHARE = 0.5;
 
-  /** How many report intervals a replica is away while it moves. */
-  private static final double MOVE_REPORTS = 2;
+  /** How long a replica is away while it moves, in paces. */
+  private static final double MOVE_PACES = 2;
+
+  /** How long room is claimed for a job while what holds it stops, in paces. */
+  private static final int CLAIM_PACES = 5;
+
+  /** How long a replica has to run before it may move, in paces. */
+  private static final int MOVABLE_PACES = 10;
 
   private final Context context;
   private final Term term;
@@ -91,7 +97,7 @@
     fullSearchLooks =
         LOOKS_PER_CORE_S
             * context.settings.controller().cpuShare()
-            * context.settings.workers().reportS()
+            * context.paceS()
             * SEARCH_SHARE;
   }
 
@@ -150,18 +156,18 @@
     makeRoomNotBeforeMs =
         Math.max(
             makeRoomNotBeforeMs,
-            context.nowMs + (long) (preemption.sought / fullSearchLooks * context.reportMs()));
+            context.nowMs + (long) (preemption.sought / fullSearchLooks * context.paceMs()));
     return left;
   }
 
   private long collectMs() {
-    return (long) (context.reportMs() * context.settings.operator().roundShare());
+    return (long) (context.paceMs() * context.settings.operator().roundShare());
   }
 
   private boolean mayPlace(JobEntry entry) {
     return !entry.waiting.isEmpty()
         && context.nowMs >= entry.notBeforeMs
-        && gate.waitMs(Urgency.START) <= context.reportMs();
+        && gate.waitMs(Urgency.START) <= context.paceMs();
   }
 
   /** The jobs with something to do, the most urgent first. */
@@ -484,12 +490,12 @@
 
   /**
    * The lower the better: first how many GPUs the task would leave without the processors that GPU
-   * work takes, then how long the image keeps it waiting, in steps of a report, then what the
-   * machine has left. Work that may use spot machines leaves the others to the rest.
+   * work takes, then how long the image keeps it waiting, in steps of a pace, then what the machine
+   * has left. Work that may use spot machines leaves the others to the rest.
    */
   private double score(Job job, MachineEntry m, Resources left) {
     double stranded = stranded(left) - stranded(left.plus(job.need()));
-    double steps = Math.floor(imageWaitS(job, m) / context.settings.workers().reportS());
+    double steps = Math.floor(imageWaitS(job, m) / context.paceS());
     double fullness = left.shareOf(m.room);
     boolean ordinaryForSpot = job.spot() && !m.machine.spot();
     return steps
@@ -600,7 +606,7 @@
           p.stopping = true;
           best.machine.urgent = true;
         }
-        claim(new Claim(entry, best.machine, context.nowMs + context.leaseMs() / 2));
+        claim(new Claim(entry, best.machine, context.nowMs + CLAIM_PACES * context.paceMs()));
         perZone.merge(best.machine.zone(), 1, Integer::sum);
         add(options, option(job, best.machine, best.order));
       }
@@ -722,7 +728,7 @@
         if (!m.zone().equals(zone)
             || !kindAllowed(job, m)
             || !takesMoved(job, left)
-            || imageWaitS(job, m) > context.settings.workers().reportS()) {
+            || imageWaitS(job, m) > context.paceS()) {
           if (i == first[0]) {
             first[0]++;
           }
@@ -759,16 +765,14 @@
       boolean gpusMove =
           !mayStop
               && its.priority().compareTo(job.priority()) > 0
-              && context.nowMs - p.runningSinceMs > Drain.SETTLED_LEASES * context.leaseMs();
+              && context.nowMs - p.runningSinceMs > Drain.SETTLED_MS;
       boolean movable =
           its.kind() == JobKind.SERVICE
               && (its.need().gpus() <= 0 || gpusMove)
               && p.seen == TaskReport.State.RUNNING
               && its.need().shareOf(p.machine.room) < job.need().shareOf(p.machine.room)
-              && context.nowMs - p.runningSinceMs > context.leaseMs();
-      return movable
-          ? MOVE_REPORTS * context.settings.workers().reportS() * weight
-          : Double.MAX_VALUE;
+              && context.nowMs - p.runningSinceMs > MOVABLE_PACES * context.paceMs();
+      return movable ? MOVE_PACES * context.paceS() * weight : Double.MAX_VALUE;
     }
   }
 
--- a/src/main/java/eiderfork/core/Term.java
+++ b/src/main/java/eiderfork/core/Term.java
@@ -32,6 +32,12 @@
   /** A lease is renewed this many times in its life, so that two lost renewals are survived. */
   private static final int RENEWALS = 3;
 
+  /**
+   * The share of the workers' lease that the leader's takes is of no more than this many paces.
+   * Users wait for a new leader as well as workers, and not longer where workers' leases are long.
+   */
+  private static final int MOST_PACES = 10;
+
   /** How much of its lease a leader leaves unused, for slow clocks and late replies. */
   private static final double LEASE_MARGIN = 0.1;
 
@@ -56,7 +62,8 @@
     this.context = context;
     this.gate = gate;
     this.listener = listener;
-    leaseMs = (long) (context.leaseMs() * context.settings.operator().stateLeaseShare());
+    long mostMs = Math.min(context.leaseMs(), MOST_PACES * context.paceMs());
+    leaseMs = (long) (mostMs * context.settings.operator().stateLeaseShare());
     backoff = new Backoff(leaseMs / 20, leaseMs / 4);
     nextMs = context.nowMs;
   }
--- a/src/main/java/eiderfork/core/Users.java
+++ b/src/main/java/eiderfork/core/Users.java
@@ -25,13 +25,13 @@
   private static final Logger LOG = LoggerFactory.getLogger(Users.class);
 
   /**
-   * A request that would wait longer than this share of a lease for its turn at the state service
-   * is refused at once, with the time after which to come back.
+   * A request that would wait longer than this many paces for its turn at the state service is
+   * refused at once, with the time after which to come back.
    */
-  private static final double WAIT_SHARE = 0.08;
+  private static final double WAIT_PACES = 0.8;
 
-  /** How long a peer may take over a request passed on, as a share of a lease. */
-  private static final double FORWARD_SHARE = 0.05;
+  /** How long a peer may take over a request passed on, in paces. */
+  private static final double FORWARD_PACES = 0.5;
 
   /** When to ask again for a job of which a record can't be read: an operator has to act first. */
   private static final int RECORD_RETRY_S = 30;
@@ -106,7 +106,7 @@
       context.ask(
           call ->
               new Effect.AskPeerRequest(
-                  call, leader, request, (long) (context.leaseMs() * FORWARD_SHARE)),
+                  call, leader, request, (long) (context.paceMs() * FORWARD_PACES)),
           reply -> {
             if (reply instanceof Reply.PeerAnswered it && it.answer().status() != 503) {
               answer.accept(it.answer());
@@ -232,7 +232,7 @@
   }
 
   private boolean refusedForWait(long waitMs, Consumer<UserAnswer> answer) {
-    if (waitMs <= context.leaseMs() * WAIT_SHARE) {
+    if (waitMs <= context.paceMs() * WAIT_PACES) {
       return false;
     }
     int laterS = (int) Math.max(1, Math.ceil(waitMs / 1000.0));
--- a/src/main/java/eiderfork/core/Workers.java
+++ b/src/main/java/eiderfork/core/Workers.java
@@ -25,8 +25,13 @@
   /** The term stands in the bits above these of a warrant, the per-worker sequence below. */
   static final int SEQUENCE_BITS = 24;
 
-  /** A machine that misses this many reports is silent. */
-  private static final double SILENT_REPORTS = 2.6;
+  /**
+   * A machine is silent after the longest time between two of its reports, which is a quarter over
+   * the interval, and this many paces more, for a report that was lost or tried another node.
+   */
+  private static final double LONGEST_REPORTS = 1.25;
+
+  private static final double SILENT_PACES = 1.35;
 
   /** Jobs that must fail on a machine, and end well elsewhere or not have run, to condemn it. */
   private static final int FAULTY_ERRORS = 2;
@@ -64,7 +69,7 @@
   }
 
   long silentMs() {
-    return (long) (context.reportMs() * SILENT_REPORTS);
+    return (long) (context.reportMs() * LONGEST_REPORTS + context.paceMs() * SILENT_PACES);
   }
 
   /** Whether the worker takes this term's commands, so that no older leader can reach it. */
@@ -224,12 +229,12 @@
           m.faulty = true;
         }
         job.notBeforeMs =
-            context.nowMs + (context.reportMs() << Math.min(5, Math.max(0, job.failures - 2)));
+            context.nowMs + (context.paceMs() << Math.min(5, Math.max(0, job.failures - 2)));
         jobs.release(p, false);
       }
       case NO_ROOM, BUSY, UNKNOWN -> {
         LOG.info("{} refused on {}: {}", p.id(), m.name, task.cause());
-        job.notBeforeMs = context.nowMs + context.reportMs();
+        job.notBeforeMs = context.nowMs + context.paceMs();
         jobs.release(p, false);
       }
       case STOPPED, PEERS, INCOMPLETE -> jobs.release(p, false);
@@ -323,7 +328,7 @@
       }
       if (m.report == null || !shown(m)) {
         // Reached directly, so that an older leader's warrant ends there soon.
-        if (!m.booting && context.nowMs - electedMs > context.reportMs() && free > forCommands) {
+        if (!m.booting && context.nowMs - electedMs > context.paceMs() && free > forCommands) {
           reach(m);
         }
       } else if (m.urgent && term.sure() && rebuilt && heard(m)) {
@@ -335,15 +340,14 @@
 
   /** The worker has surely killed and forgotten everything that was started before. */
   boolean lapsed(MachineEntry m) {
-    return context.nowMs - m.answeredMs
-        > Context.surely(context.leaseMs()) + context.reportMs() / 2;
+    return context.nowMs - m.answeredMs > Context.surely(context.leaseMs()) + context.paceMs() / 2;
   }
 
   private void reach(MachineEntry m) {
     m.commanding = true;
     if (m.report == null) {
       context.ask(
-          call -> new Effect.AskInspect(call, m.addr(), context.reportMs() * 2),
+          call -> new Effect.AskInspect(call, m.addr(), context.paceMs() * 2),
           reply -> commanded(m, reply, 0));
     } else {
       m.warrant = Math.max(m.warrant, base() + 1);
@@ -376,7 +380,7 @@
     context.ask(
         call ->
             new Effect.AskCommands(
-                call, m.addr(), warrant, session, commands, context.reportMs() * 2),
+                call, m.addr(), warrant, session, commands, context.paceMs() * 2),
         reply -> commanded(m, reply, warrant));
   }
 
@@ -406,7 +410,7 @@
         m.urgent = false;
       }
       m.commandNotBeforeMs =
-          context.nowMs + context.reportMs() + context.random.nextLong(context.reportMs());
+          context.nowMs + context.paceMs() + context.random.nextLong(context.paceMs());
     }
   }
 }
--- a/src/main/java/eiderfork/net/Node.java
+++ b/src/main/java/eiderfork/net/Node.java
@@ -55,8 +55,7 @@
   public void start() throws InterruptedException {
     new HttpServer(this::publicRequest).listen(group, settings.listen());
     new HttpServer(this::peerRequest).listen(group, settings.peerListen());
-    long tickMs =
-        Math.max(1, (long) (settings.workers().reportS() * 1000) / Controller.TICKS_PER_REPORT);
+    long tickMs = Math.max(1, controller.tickMs());
     loop.scheduleWithFixedDelay(this::tick, 0, tickMs, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(
         client::sweep, 1, (long) settings.workers().leaseS(), TimeUnit.SECONDS);
--- a/src/test/java/eiderfork/core/ControllerTest.java
+++ b/src/test/java/eiderfork/core/ControllerTest.java
@@ -79,4 +79,13 @@
     take(1010, new Input.Tick());
     assertEquals(List.of(new Effect.RedirectWorker(7, null)), redirects());
   }
+
+  /** A wait of a report interval outlived the worker's own, which is 4 s whatever the interval. */
+  @Test
+  void noReportWaitsLongerForBeingASeldomOne() {
+    Controller slow = new Controller(World.slow(), new Random(1), 0);
+    slow.take(10, report(7));
+    List<Effect> later = slow.take(1010, new Input.Tick());
+    assertTrue(later.contains(new Effect.RedirectWorker(7, null)), later::toString);
+  }
 }
--- a/src/test/java/eiderfork/core/FakeWorker.java
+++ b/src/test/java/eiderfork/core/FakeWorker.java
@@ -43,6 +43,7 @@
   long warrant;
   private long answeredSentMs;
   long nextReportMs;
+  long reportedMs;
   boolean waiting;
   int node;
   boolean dead;
--- a/src/test/java/eiderfork/core/HistoryTest.java
+++ b/src/test/java/eiderfork/core/HistoryTest.java
@@ -18,7 +18,17 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
   void rulesHoldAndWorkGetsDone(long seed) {
-    World world = new World(seed);
+    rulesHold(new World(seed), seed);
+  }
+
+  /** Reports that come seldom and leases that are long: users and workers wait no longer for it. */
+  @ParameterizedTest
+  @ValueSource(longs = {21, 22, 23, 24, 25, 26})
+  void rulesHoldWhereReportsComeSeldom(long seed) {
+    rulesHold(new World(seed, World.slow()), seed);
+  }
+
+  private static void rulesHold(World world, long seed) {
     Random script = new Random(seed * 31);
     world.loss = 0.01;
     world.late = 0.01;
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -55,7 +55,13 @@
   }
 
   final Random random;
-  final Settings settings = settings("roost-0");
+
+  /** The figures of the earlier deployments, and of those of many machines. */
+  static final Settings.Workers QUICK = new Settings.Workers(1, 10, 30);
+
+  static final Settings.Workers SLOW = new Settings.Workers(4, 22, 42);
+
+  final Settings settings;
   final FakeState state = new FakeState();
   final Checker checker;
   final Map<String, Controller> nodes = new TreeMap<>();
@@ -73,6 +79,11 @@
   boolean cloudDown;
   int capacity = 10;
 
+  /** What the cloud has, and how much of each kind where that is not {@link #capacity}. */
+  ImmutableList<MachineType> types = SMALL_TYPES;
+
+  final Map<Cloud.Kind, Integer> stock = new HashMap<>();
+
   /** Machines on which, and jobs of which, every task fails. */
   final Set<String> badMachines = new HashSet<>();
 
@@ -91,6 +102,11 @@
   int returnedHosts;
 
   World(long seed) {
+    this(seed, settings("roost-0"));
+  }
+
+  World(long seed, Settings settings) {
+    this.settings = settings;
     random = new Random(seed);
     checker = new Checker(settings.teams(), (long) (settings.workers().cancelS() * 1000));
     for (int i = 0; i < 3; i++) {
@@ -99,7 +115,21 @@
     every(TICK_MS, this::tickWorld);
   }
 
+  /** Settings with the figures of a fleet of many machines. */
+  static Settings slow() {
+    return settings("roost-0", SLOW, new Settings.StateLimits(200, 40, 4), 0.2, 160);
+  }
+
   static Settings settings(String node) {
+    return settings(node, QUICK, new Settings.StateLimits(200, 40, 8), 0.2, 160);
+  }
+
+  static Settings settings(
+      String node,
+      Settings.Workers workers,
+      Settings.StateLimits stateLimits,
+      double cpuShare,
+      int sockets) {
     ImmutableMap.Builder<String, Settings.Endpoint> peers = ImmutableMap.builder();
     for (int i = 0; i < 3; i++) {
       if (!node.equals("roost-" + i)) {
@@ -118,10 +148,10 @@
         ImmutableList.of(
             new Settings.Objective("wait", "web", 5, 0.9),
             new Settings.Objective("finished", "batch", 40, 0.9)),
-        new Settings.Workers(1, 10, 30),
-        new Settings.StateLimits(200, 40, 8),
+        workers,
+        stateLimits,
         new Settings.CloudLimits(2, 4),
-        new Settings.Controller(0.2, 160),
+        new Settings.Controller(cpuShare, sockets),
         OperatorSettings.DEFAULTS);
   }
 
@@ -231,7 +261,14 @@
 
   void boot(String node) {
     lives.merge(node, 1, Integer::sum);
-    nodes.put(node, new Controller(settings(node), new Random(random.nextLong()), nowMs));
+    Settings own =
+        settings(
+            node,
+            settings.workers(),
+            settings.stateLimits(),
+            settings.controller().cpuShare(),
+            settings.controller().sockets());
+    nodes.put(node, new Controller(own, new Random(random.nextLong()), nowMs));
   }
 
   void crash(String node, long forMs) {
@@ -305,7 +342,7 @@
     if (effect instanceof Effect.AskState it) {
       call(node, it, "state", then -> state.execute(it.op(), nowMs, then));
     } else if (effect instanceof Effect.AskTypes it) {
-      cloud(node, it, () -> new Reply.Types(types()));
+      cloud(node, it, () -> new Reply.Types(types));
     } else if (effect instanceof Effect.AskRent it) {
       cloud(node, it, () -> rent(it.rent()));
     } else if (effect instanceof Effect.AskReturn it) {
@@ -379,12 +416,12 @@
 
   // The cloud.
 
-  private ImmutableList<MachineType> types() {
-    return ImmutableList.of(
-        new MachineType("g4", new Resources(16, 4, 64), 50, 2, 8, 3, 4, ImmutableList.of("a", "b")),
-        new MachineType(
-            "c8", new Resources(8, 0, 32), 50, 1, 1, 0.4, 3, ImmutableList.of("a", "b")));
-  }
+  private static final ImmutableList<MachineType> SMALL_TYPES =
+      ImmutableList.of(
+          new MachineType(
+              "g4", new Resources(16, 4, 64), 50, 2, 8, 3, 4, ImmutableList.of("a", "b")),
+          new MachineType(
+              "c8", new Resources(8, 0, 32), 50, 1, 1, 0.4, 3, ImmutableList.of("a", "b")));
 
   private void cloud(String node, Effect.Call call, java.util.function.Supplier<Reply> answer) {
     call(
@@ -409,7 +446,8 @@
                         && h.machine.zone().equals(rent.zone())
                         && h.machine.spot() == rent.spot())
             .count();
-    int count = (int) Math.min(rent.count(), capacity - same);
+    Cloud.Kind kind = new Cloud.Kind(rent.type(), rent.zone(), rent.spot());
+    int count = (int) Math.min(rent.count(), stock.getOrDefault(kind, capacity) - same);
     for (int i = 0; i < count; i++) {
       addHost(rent.type(), rent.zone(), rent.spot(), 2000 + random.nextLong(6000));
       names.add(hosts.lastKey());
@@ -512,13 +550,15 @@
     if (w.dead || w.hanging || w.waiting) {
       return;
     }
-    boolean early = w.changed && nowMs >= w.nextReportMs - 500;
+    boolean early = w.changed && nowMs >= Math.min(w.nextReportMs - 500, w.reportedMs + 1000);
     if (nowMs < w.nextReportMs && !early) {
       return;
     }
     w.changed = false;
     w.waiting = true;
-    w.nextReportMs = nowMs + 750 + random.nextLong(500);
+    w.reportedMs = nowMs;
+    long reportMs = (long) (settings.workers().reportS() * 1000);
+    w.nextReportMs = nowMs + reportMs * 3 / 4 + random.nextLong(reportMs / 2);
     long sentMs = nowMs;
     long session = w.session();
     var report = w.report();
