--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -1,5 +1,6 @@
 package eiderfork.core;
 
+import com.google.common.collect.ImmutableList;
 import eiderfork.config.Settings;
 import eiderfork.model.Record;
 import eiderfork.model.Report;
@@ -84,6 +85,8 @@
       user(it.ticket(), it, true);
     } else if (input instanceof Input.PeerRequest it) {
       user(it.ticket(), it.request(), false);
+    } else if (input instanceof Input.PeerQueries it) {
+      queries(it);
     } else if (input instanceof Input.PeerPing it) {
       peers.heard(it.view());
       context.emit(new Effect.AnswerPing(it.ticket(), view()));
@@ -115,6 +118,28 @@
     users.take(request, passOn, answer -> context.emit(new Effect.AnswerUser(ticket, answer)));
   }
 
+  /** Answers a peer's questions together, once the last of them is answered. */
+  private void queries(Input.PeerQueries asked) {
+    UserAnswer[] answers = new UserAnswer[asked.uids().size()];
+    int[] open = {answers.length};
+    for (int i = 0; i < answers.length; i++) {
+      int at = i;
+      users.take(
+          new Input.Query(0, asked.uids().get(i)),
+          false,
+          answer -> {
+            answers[at] = answer;
+            if (--open[0] == 0) {
+              context.emit(
+                  new Effect.AnswerPeerQueries(asked.ticket(), ImmutableList.copyOf(answers)));
+            }
+          });
+    }
+    if (answers.length == 0) {
+      context.emit(new Effect.AnswerPeerQueries(asked.ticket(), ImmutableList.of()));
+    }
+  }
+
   private PeerView view() {
     int heard = 0;
     for (long at : heardMs.values()) {
@@ -141,6 +166,7 @@
     term.tick();
     jobs.tick();
     peers.tick(view());
+    users.tick();
     if (term.leading()) {
       if (rebuilt) {
         workers.tick();
--- a/src/main/java/eiderfork/core/Effect.java
+++ b/src/main/java/eiderfork/core/Effect.java
@@ -38,6 +38,12 @@
 
   record AskPeerRequest(long call, String node, Input request, long timeoutMs) implements Call {}
 
+  /** Questions after several jobs, answered in their order. */
+  record AskPeerQueries(long call, String node, ImmutableList<String> uids, long timeoutMs)
+      implements Call {}
+
+  record AnswerPeerQueries(long ticket, ImmutableList<UserAnswer> answers) implements Effect {}
+
   record AnswerUser(long ticket, UserAnswer answer) implements Effect {}
 
   record AnswerHealth(long ticket, boolean healthy, String why) implements Effect {}
--- a/src/main/java/eiderfork/core/Fence.java
+++ b/src/main/java/eiderfork/core/Fence.java
@@ -37,10 +37,14 @@
     all.forEach(each -> each.accept(false));
   }
 
-  /** Calls back with whether memory has caught up with this moment. */
+  /** Calls back with whether memory has caught up with this moment, or with a later one. */
   void pass(Consumer<Boolean> then) {
     waiting.add(then);
-    if (!asking) {
+  }
+
+  /** Asks for all that came since the last tick; a question waits for that, not for long. */
+  void tick() {
+    if (!asking && !waiting.isEmpty()) {
       ask();
     }
   }
@@ -63,9 +67,6 @@
           served.forEach(each -> each.accept(caughtUp));
           if (of == round) {
             asking = false;
-            if (!waiting.isEmpty()) {
-              ask();
-            }
           }
         });
   }
--- a/src/main/java/eiderfork/core/Input.java
+++ b/src/main/java/eiderfork/core/Input.java
@@ -1,5 +1,6 @@
 package eiderfork.core;
 
+import com.google.common.collect.ImmutableList;
 import eiderfork.model.Job;
 import eiderfork.model.Report;
 
@@ -22,6 +23,9 @@
   /** A submission, query or cancellation passed on by a peer. */
   record PeerRequest(long ticket, Input request) implements Input {}
 
+  /** Questions after several jobs, passed on by a peer. */
+  record PeerQueries(long ticket, ImmutableList<String> uids) implements Input {}
+
   record PeerPing(long ticket, PeerView view) implements Input {}
 
   /** The reply to a call that an effect asked for. */
--- a/src/main/java/eiderfork/core/Reply.java
+++ b/src/main/java/eiderfork/core/Reply.java
@@ -47,4 +47,6 @@
   record PeerSays(PeerView view) implements Reply {}
 
   record PeerAnswered(UserAnswer answer) implements Reply {}
+
+  record PeerAnsweredAll(ImmutableList<UserAnswer> answers) implements Reply {}
 }
--- a/src/main/java/eiderfork/core/Users.java
+++ b/src/main/java/eiderfork/core/Users.java
@@ -30,9 +30,6 @@
    */
   private static final double WAIT_PACES = 0.8;
 
-  /** How long a peer may take over a request passed on, in paces. */
-  private static final double FORWARD_PACES = 0.5;
-
   /** When to ask again for a job of which a record can't be read: an operator has to act first. */
   private static final int RECORD_RETRY_S = 30;
 
@@ -48,6 +45,7 @@
   /** Submissions whose write is under way, with those that wait for its end. */
   private final Map<String, List<Consumer<UserAnswer>>> submitting = new HashMap<>();
 
+  private final Forwards forwards;
   private final SettledJobs settled = new SettledJobs();
   private ImmutableMap<String, MachineType> storedTypes = ImmutableMap.of();
   private boolean ready;
@@ -69,6 +67,7 @@
     this.planner = planner;
     this.fence = fence;
     this.kick = kick;
+    forwards = new Forwards(context);
   }
 
   /** Whether memory holds all that is committed. */
@@ -102,11 +101,13 @@
           asker.accept(it);
         };
     String leader = term.leader();
-    if (!fromMemory() && passOn && leader != null && context.settings.peers().containsKey(leader)) {
+    if (fromMemory() || !passOn || !isPeer(leader)) {
+      here(request, answer);
+    } else if (request instanceof Input.Query query) {
+      forwards.add(query.uid(), answer, () -> here(request, answer));
+    } else {
       context.ask(
-          call ->
-              new Effect.AskPeerRequest(
-                  call, leader, request, (long) (context.paceMs() * FORWARD_PACES)),
+          call -> new Effect.AskPeerRequest(call, leader, request, Forwards.timeoutMs(context)),
           reply -> {
             if (reply instanceof Reply.PeerAnswered it && it.answer().status() != 503) {
               answer.accept(it.answer());
@@ -114,11 +115,19 @@
               here(request, answer);
             }
           });
-    } else {
-      here(request, answer);
     }
   }
 
+  private boolean isPeer(String node) {
+    return node != null && context.settings.peers().containsKey(node);
+  }
+
+  /** Sends on what has gathered since the last tick. */
+  void tick() {
+    fence.tick();
+    forwards.tick(isPeer(term.leader()) ? term.leader() : null);
+  }
+
   private static String uid(Input request) {
     if (request instanceof Input.Submit submit) {
       return submit.job().uid();
--- a/src/main/java/eiderfork/net/Node.java
+++ b/src/main/java/eiderfork/net/Node.java
@@ -156,6 +156,9 @@
       if (exchange.path.equals(PeerWire.PING)) {
         var view = PeerWire.view(exchange.body);
         take(new Input.PeerPing(ticket(exchange), view));
+      } else if (exchange.path.equals(PeerWire.QUERIES)) {
+        var uids = PeerWire.queries(exchange.body);
+        take(new Input.PeerQueries(ticket(exchange), uids));
       } else if (exchange.path.equals(PeerWire.REQUEST)) {
         Input request = PeerWire.request(exchange.body);
         passedOn.put(++tickets, exchange);
@@ -207,6 +210,15 @@
     } else if (effect instanceof Effect.AskPeerRequest it) {
       byte[] body = PeerWire.request(it.request());
       ask(it, settings.peers().get(it.node()), "POST", PeerWire.REQUEST, body, Node::peerAnswered);
+    } else if (effect instanceof Effect.AskPeerQueries it) {
+      byte[] body = PeerWire.queries(it.uids());
+      ask(
+          it,
+          settings.peers().get(it.node()),
+          "POST",
+          PeerWire.QUERIES,
+          body,
+          Node::peerAnsweredAll);
     } else {
       answer(effect);
     }
@@ -222,6 +234,8 @@
         HttpServer.Exchange user = open.remove(it.ticket());
         user.answer(answer.status(), UserWire.body(answer), answer.retryAfterS());
       }
+    } else if (effect instanceof Effect.AnswerPeerQueries it) {
+      open.remove(it.ticket()).answer(200, PeerWire.answers(it.answers()), 0);
     } else if (effect instanceof Effect.AnswerHealth it) {
       byte[] body = UserWire.health(it.healthy(), it.why());
       open.remove(it.ticket()).answer(it.healthy() ? 200 : 503, body, 0);
@@ -277,6 +291,10 @@
     return status == 200 ? PeerWire.answer(body) : new Reply.Refused(status);
   }
 
+  private static Reply peerAnsweredAll(int status, byte[] body) throws BadMessage {
+    return status == 200 ? PeerWire.answers(body) : new Reply.Refused(status);
+  }
+
   private static Endpoint endpoint(String addr) {
     int colon = addr.lastIndexOf(':');
     try {
--- a/src/main/java/eiderfork/wire/PeerWire.java
+++ b/src/main/java/eiderfork/wire/PeerWire.java
@@ -1,5 +1,6 @@
 package eiderfork.wire;
 
+import com.google.common.collect.ImmutableList;
 import eiderfork.core.Input;
 import eiderfork.core.PeerView;
 import eiderfork.core.Reply;
@@ -10,6 +11,7 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
+import java.util.List;
 import org.apache.avro.Schema;
 import org.apache.avro.generic.GenericData;
 import org.apache.avro.generic.GenericDatumReader;
@@ -22,12 +24,15 @@
 public final class PeerWire {
   public static final String PING = "/peer/ping";
   public static final String REQUEST = "/peer/request";
+  public static final String QUERIES = "/peer/queries";
 
   private static final String SCHEMAS = "peer.avpr.json";
   private static final Schema UNION = load();
   private static final Schema VIEW = UNION.getTypes().get(0);
   private static final Schema ASKED = UNION.getTypes().get(1);
   private static final Schema ANSWER = UNION.getTypes().get(2);
+  private static final Schema QUESTIONS = UNION.getTypes().get(3);
+  private static final Schema ANSWERS = UNION.getTypes().get(4);
 
   private PeerWire() {}
 
@@ -95,7 +100,39 @@
     }
   }
 
+  public static byte[] queries(List<String> uids) {
+    GenericRecord record = new GenericData.Record(QUESTIONS);
+    record.put("uids", uids);
+    return bytes(record);
+  }
+
+  public static ImmutableList<String> queries(byte[] bytes) throws BadMessage {
+    ImmutableList.Builder<String> uids = ImmutableList.builder();
+    for (Object uid : (List<?>) read(QUESTIONS, bytes).get("uids")) {
+      uids.add(uid.toString());
+    }
+    return uids.build();
+  }
+
+  public static byte[] answers(List<UserAnswer> answers) {
+    GenericRecord record = new GenericData.Record(ANSWERS);
+    record.put("answers", answers.stream().map(PeerWire::toRecord).toList());
+    return bytes(record);
+  }
+
+  public static Reply answers(byte[] bytes) throws BadMessage {
+    ImmutableList.Builder<UserAnswer> answers = ImmutableList.builder();
+    for (Object answer : (List<?>) read(ANSWERS, bytes).get("answers")) {
+      answers.add(fromRecord((GenericRecord) answer));
+    }
+    return new Reply.PeerAnsweredAll(answers.build());
+  }
+
   public static byte[] answer(UserAnswer answer) {
+    return bytes(toRecord(answer));
+  }
+
+  private static GenericRecord toRecord(UserAnswer answer) {
     GenericRecord record = new GenericData.Record(ANSWER);
     record.put("status", answer.status());
     record.put("retryAfterS", answer.retryAfterS());
@@ -105,11 +142,14 @@
     record.put("stance", job == null ? null : job.stance().name());
     record.put("done", job == null ? 0 : job.done());
     record.put("running", job == null ? 0 : job.running());
-    return bytes(record);
+    return record;
   }
 
   public static Reply answer(byte[] bytes) throws BadMessage {
-    GenericRecord record = read(ANSWER, bytes);
+    return new Reply.PeerAnswered(fromRecord(read(ANSWER, bytes)));
+  }
+
+  private static UserAnswer fromRecord(GenericRecord record) throws BadMessage {
     JobStatus job = null;
     if (record.get("uid") != null && record.get("stance") != null) {
       try {
@@ -124,12 +164,11 @@
       }
     }
     Object error = record.get("error");
-    return new Reply.PeerAnswered(
-        new UserAnswer(
-            (Integer) record.get("status"),
-            job,
-            (Integer) record.get("retryAfterS"),
-            error == null ? null : error.toString()));
+    return new UserAnswer(
+        (Integer) record.get("status"),
+        job,
+        (Integer) record.get("retryAfterS"),
+        error == null ? null : error.toString());
   }
 
   private static byte[] bytes(GenericRecord record) {
--- a/src/test/java/eiderfork/core/FenceTest.java
+++ b/src/test/java/eiderfork/core/FenceTest.java
@@ -20,6 +20,7 @@
 
   private Effect.AskState asked() {
     context.nowMs += 1000;
+    fence.tick();
     gate.pump();
     List<Effect> effects = context.takeEffects();
     assertEquals(1, effects.size());
@@ -35,6 +36,7 @@
     assertEquals(new StateOp.Watch(Keys.ABORT, 5, 0), look.op());
     fence.pass(ok -> told.add("second " + ok + aborted));
     fence.pass(ok -> told.add("third " + ok + aborted));
+    fence.tick();
     assertTrue(context.takeEffects().isEmpty(), "a look is under way");
     context.answered(look.call(), new Reply.Changes(ImmutableList.of(), 6));
     assertEquals(List.of("first true[]"), told);
--- /dev/null
+++ b/src/test/java/eiderfork/core/ForwardsTest.java
@@ -0,0 +1,74 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.model.JobStatus;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class ForwardsTest {
+  private final Context context = new Context(World.settings("roost-0"), new Random(1), 0);
+  private final Forwards forwards = new Forwards(context);
+  private final List<String> told = new ArrayList<>();
+
+  private void ask(String uid) {
+    forwards.add(
+        uid, answer -> told.add(uid + " " + answer.status()), () -> told.add(uid + " here"));
+  }
+
+  private static UserAnswer running(String uid) {
+    return UserAnswer.ok(new JobStatus(uid, JobStatus.Stance.RUNNING, 0, 1));
+  }
+
+  private List<Effect.AskPeerQueries> sent() {
+    return context.takeEffects().stream().map(Effect.AskPeerQueries.class::cast).toList();
+  }
+
+  /** Passed on one by one, the questions of a thousand jobs' users took most of the processor. */
+  @Test
+  void theQuestionsOfATickGoInOneRequestAndEachGetsItsOwnAnswer() {
+    ask("run-1");
+    ask("run-2");
+    ask("run-3");
+    forwards.tick("roost-1");
+    List<Effect.AskPeerQueries> sent = sent();
+    assertEquals(1, sent.size());
+    assertEquals(List.of("run-1", "run-2", "run-3"), sent.get(0).uids());
+    ImmutableList<UserAnswer> answers =
+        ImmutableList.of(
+            running("run-1"), UserAnswer.refused(404, "no such job"), UserAnswer.later(1, "busy"));
+    context.answered(sent.get(0).call(), new Reply.PeerAnsweredAll(answers));
+    assertEquals(List.of("run-1 200", "run-2 404", "run-3 here"), told);
+  }
+
+  @Test
+  void withoutAnAnswerFromTheLeaderEachIsAnsweredHere() {
+    ask("run-1");
+    forwards.tick(null);
+    assertEquals(List.of("run-1 here"), told);
+    ask("run-2");
+    forwards.tick("roost-1");
+    context.answered(sent().get(0).call(), new Reply.Unanswered());
+    ask("run-3");
+    ask("run-4");
+    forwards.tick("roost-1");
+    ImmutableList<UserAnswer> tooFew = ImmutableList.of(running("run-3"));
+    context.answered(sent().get(0).call(), new Reply.PeerAnsweredAll(tooFew));
+    assertEquals(List.of("run-1 here", "run-2 here", "run-3 here", "run-4 here"), told);
+  }
+
+  @Test
+  void aRequestStaysBelowWhatAPeerTakes() {
+    for (int i = 0; i < 1000; i++) {
+      ask("run-%060d".formatted(i));
+    }
+    forwards.tick("roost-1");
+    List<Effect.AskPeerQueries> sent = sent();
+    assertTrue(sent.size() > 1);
+    assertEquals(1000, sent.stream().mapToInt(each -> each.uids().size()).sum());
+  }
+}
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -387,6 +387,18 @@
                   ticket -> new Input.PeerRequest(ticket, it.request()),
                   said ->
                       then.accept(new Reply.PeerAnswered(((Effect.AnswerUser) said).answer()))));
+    } else if (effect instanceof Effect.AskPeerQueries it) {
+      call(
+          node,
+          it,
+          it.node(),
+          then ->
+              ask(
+                  it.node(),
+                  ticket -> new Input.PeerQueries(ticket, it.uids()),
+                  said ->
+                      then.accept(
+                          new Reply.PeerAnsweredAll(((Effect.AnswerPeerQueries) said).answers()))));
     } else {
       long ticket =
           effect instanceof Effect.AnswerUser a
@@ -397,7 +409,9 @@
                       ? c.ticket()
                       : effect instanceof Effect.AnswerPing d
                           ? d.ticket()
-                          : ((Effect.AnswerHealth) effect).ticket();
+                          : effect instanceof Effect.AnswerPeerQueries e
+                              ? e.ticket()
+                              : ((Effect.AnswerHealth) effect).ticket();
       Consumer<Effect> then = answers.remove(ticket);
       if (then != null) {
         then.accept(effect);
--- a/src/test/java/eiderfork/wire/WireTest.java
+++ b/src/test/java/eiderfork/wire/WireTest.java
@@ -21,6 +21,7 @@
 import eiderfork.model.TaskId;
 import eiderfork.model.TaskReport;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -214,6 +215,12 @@
     JobStatus job = new JobStatus("run-1", JobStatus.Stance.DONE, 4, 0);
     UserAnswer answer = new UserAnswer(200, job, 0, null);
     assertEquals(new Reply.PeerAnswered(answer), PeerWire.answer(PeerWire.answer(answer)));
+    assertEquals(
+        new Reply.PeerAnsweredAll(ImmutableList.of(answer, answer)),
+        PeerWire.answers(PeerWire.answers(List.of(answer, answer))));
+    assertEquals(
+        List.of("run-1", "run-2"), PeerWire.queries(PeerWire.queries(List.of("run-1", "run-2"))));
+    assertThrows(BadMessage.class, () -> PeerWire.queries(new byte[] {9, 2, 3}));
     assertThrows(BadMessage.class, () -> PeerWire.request(new byte[] {1, 2, 3}));
   }
 }
