--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -59,11 +59,11 @@
     term = new Term(context, gate, this);
     jobs = new JobBook(context, gate, term);
     fleet = new Fleet(context, jobs);
-    workers = new Workers(context, term, jobs, fleet, this::kick);
+    peers = new Peers(context, term);
+    workers = new Workers(context, term, jobs, fleet, peers::olderTermsOverMs, this::kick);
     placer = new Placer(context, term, gate, jobs, fleet, workers);
     cloud = new Cloud(context, term, gate, fleet);
     planner = new Planner(context, gate, jobs, fleet, workers, cloud, placer);
-    peers = new Peers(context, term);
     fence = new Fence(gate, this::changed);
     users = new Users(context, term, gate, jobs, fleet, planner, fence, this::kick);
   }
--- a/src/main/java/eiderfork/core/Peers.java
+++ b/src/main/java/eiderfork/core/Peers.java
@@ -15,6 +15,11 @@
   private final Term term;
   private final Map<String, Seen> seen = new LinkedHashMap<>();
   private final Map<String, Boolean> asking = new LinkedHashMap<>();
+
+  /** When each peer first answered a ping of this node's {@link #yieldedTo} with that term. */
+  private final Map<String, Long> yieldedMs = new LinkedHashMap<>();
+
+  private long yieldedTo;
   private long nextMs;
 
   Peers(Context context, Term term) {
@@ -41,6 +46,7 @@
             asking.put(node, false);
             if (reply instanceof Reply.PeerSays says) {
               heard(says.view());
+              yielded(node, says.view());
             }
           });
     }
@@ -57,6 +63,31 @@
     }
   }
 
+  private void yielded(String node, PeerView view) {
+    if (!term.leading()) {
+      return;
+    }
+    if (yieldedTo != term.number()) {
+      yieldedTo = term.number();
+      yieldedMs.clear();
+    }
+    if (view.node().equals(node) && view.term() >= yieldedTo) {
+      yieldedMs.putIfAbsent(node, context.nowMs);
+    }
+  }
+
+  /**
+   * Since when no older leader can answer a worker: every peer has said that it knows this term,
+   * which ends any lead of an earlier one, and a process started later never had one. {@link
+   * Long#MAX_VALUE} while a peer has not said so.
+   */
+  long olderTermsOverMs() {
+    if (yieldedTo != term.number() || yieldedMs.size() < context.settings.peers().size()) {
+      return Long.MAX_VALUE;
+    }
+    return yieldedMs.values().stream().mapToLong(Long::longValue).max().orElse(0);
+  }
+
   private boolean fresh(Seen it) {
     return it != null && context.nowMs - it.atMs <= context.paceMs() * REACH_PINGS;
   }
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -38,10 +38,15 @@
    * A machine that nobody hears is given this many leases before it is returned. What hangs or is
    * cut off is mostly back before another would have booted, and its tasks are placed anew after
    * the first of them whatever becomes of it. Returned at once, seven machines that hung for 20 s
-   * were missing for a boot time on top.
+   * were missing for a boot time on top. It gets the time that another would take to boot beside
+   * that: of a zone cut off for longer than two leases all machines were once given back. One that
+   * has died is known from the cloud's list by then.
    */
   private static final int PATIENCE_LEASES = 2;
 
+  /** The share of a lease after which a silent machine is not counted on any more. */
+  private static final double DOUBTFUL_SHARE = 0.5;
+
   /** A returned machine costs this long at least. */
   static final long MIN_CHARGE_MS = 60_000;
 
@@ -128,6 +133,7 @@
       }
       pack(entry, bins, used);
     }
+    packDoubtful(bins);
     for (Arrivals a : arrivals.values()) {
       int ready = headroom(a);
       Map<String, Integer> perZone = new HashMap<>();
@@ -234,6 +240,36 @@
     }
   }
 
+  /**
+   * Packs what stands on machines that have been silent for a while: it will want new places when
+   * their leases lapse, and machines for that take a boot's time to come.
+   */
+  private void packDoubtful(List<Bin> bins) {
+    List<MachineEntry> doubtful = new ArrayList<>();
+    int live = 0;
+    for (MachineEntry m : fleet.machines()) {
+      if (m.report != null && !m.returning) {
+        live++;
+        if (workers.silentForMs(m) > context.leaseMs() * DOUBTFUL_SHARE) {
+          doubtful.add(m);
+        }
+      }
+    }
+    if (doubtful.size() * 2 > live) {
+      // It is this node that is cut off.
+      return;
+    }
+    for (MachineEntry m : doubtful) {
+      for (Placed p : m.placed) {
+        if (p.wanted()) {
+          Map<String, Integer> perZone = Placer.zonesOf(p.job);
+          perZone.merge(m.zone(), -1, Integer::sum);
+          put(p.job.job, bins, 0, perZone, p.job.job.perZone());
+        }
+      }
+    }
+  }
+
   /**
    * Packs one task, opening a new machine where none has room. Tasks of a job are alike, so what
    * did not take the one before takes none after it: each task goes on from that one's bin.
@@ -372,7 +408,7 @@
         if (type != null && overdue(m, type, FAILED_BOOT)) {
           cloud.giveBackSilent(m, "it does not come up");
         }
-      } else if (believe && workers.silentForMs(m) > PATIENCE_LEASES * context.leaseMs()) {
+      } else if (believe && workers.silentForMs(m) > PATIENCE_LEASES * context.leaseMs() + bootMs) {
         cloud.giveBackSilent(m, "it is silent");
       } else if (believe && workers.heard(m) && workers.deaf(m) && deafTooLong(m)) {
         cloud.giveBack(m, "commands do not reach it");
@@ -402,7 +438,8 @@
    */
   private boolean overdue(MachineEntry m, MachineType type, double boots) {
     return m.upMs > 0
-        ? context.nowMs - m.upMs > PATIENCE_LEASES * context.leaseMs()
+        ? context.nowMs - m.upMs
+            > PATIENCE_LEASES * context.leaseMs() + (boots == FAILED_BOOT ? type.bootS() * 1000 : 0)
         : context.nowMs - m.sinceMs > type.bootS() * 1000 * boots;
   }
 
--- a/src/main/java/eiderfork/core/Workers.java
+++ b/src/main/java/eiderfork/core/Workers.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -43,15 +44,26 @@
   private final Term term;
   private final JobBook jobs;
   private final Fleet fleet;
+  private final LongSupplier olderTermsOverMs;
   private final Runnable kick;
   private boolean rebuilt;
   private long electedMs;
 
-  Workers(Context context, Term term, JobBook jobs, Fleet fleet, Runnable kick) {
+  /**
+   * @param olderTermsOverMs since when no older leader can answer a worker
+   */
+  Workers(
+      Context context,
+      Term term,
+      JobBook jobs,
+      Fleet fleet,
+      LongSupplier olderTermsOverMs,
+      Runnable kick) {
     this.context = context;
     this.term = term;
     this.jobs = jobs;
     this.fleet = fleet;
+    this.olderTermsOverMs = olderTermsOverMs;
     this.kick = kick;
   }
 
@@ -318,7 +330,7 @@
       free -= m.commanding ? 1 : 0;
     }
     for (MachineEntry m : List.copyOf(fleet.machines())) {
-      if (m.report != null && shown(m) && !m.placed.isEmpty() && lapsed(m)) {
+      if (rebuilt && !m.placed.isEmpty() && lapsed(m)) {
         LOG.info("machine {}: its lease has lapsed", m.name);
         fleet.settleAll(m);
         kick.run();
@@ -338,9 +350,22 @@
     }
   }
 
-  /** The worker has surely killed and forgotten everything that was started before. */
+  /**
+   * The worker has surely killed and forgotten everything that was started before. Where it does
+   * not show this term's warrant yet, an older leader may have renewed its lease for as long as
+   * there was one: a leader that took over while a zone was cut off once left the zone's replicas
+   * unplaced until the cut was over.
+   */
   boolean lapsed(MachineEntry m) {
-    return context.nowMs - m.answeredMs > Context.surely(context.leaseMs()) + context.paceMs() / 2;
+    long renewedMs = m.answeredMs;
+    if (!shown(m)) {
+      long overMs = olderTermsOverMs.getAsLong();
+      if (overMs == Long.MAX_VALUE) {
+        return false;
+      }
+      renewedMs = Math.max(renewedMs, overMs);
+    }
+    return context.nowMs - renewedMs > Context.surely(context.leaseMs()) + context.paceMs() / 2;
   }
 
   private void reach(MachineEntry m) {
--- a/src/test/java/eiderfork/core/ScenarioTest.java
+++ b/src/test/java/eiderfork/core/ScenarioTest.java
@@ -204,6 +204,59 @@
     assertEquals(4, world.checker.running(job.uid()));
   }
 
+  /** While a new leader waited to hear a machine that was cut off, its tasks ran nowhere. */
+  @Test
+  void tasksOfAMachineThatANewLeaderNeverHeardArePlacedAnewAfterALease() {
+    Job job = submit(World.job(1, JobKind.SERVICE, 4, 2));
+    world.run(30);
+    FakeWorker worker = busyWorker();
+    worker.hanging = true;
+    world.run(1);
+    world.crash(world.leader(), 3000);
+    world.run(25);
+    assertTrue(worker.hanging && !worker.dead);
+    assertEquals(4, world.checker.running(job.uid()));
+  }
+
+  @Test
+  void theyWaitWhileNobodyKnowsWhetherTheOlderLeaderHoldsThem() {
+    Job job = submit(World.job(1, JobKind.SERVICE, 4, 2));
+    world.run(30);
+    FakeWorker worker = busyWorker();
+    worker.hanging = true;
+    int starts = world.checker.starts;
+    world.run(1);
+    world.crash(world.leader(), 40_000);
+    world.run(17);
+    assertEquals(starts, world.checker.starts);
+    world.run(40);
+    assertEquals(4, world.checker.running(job.uid()));
+  }
+
+  /** All machines of a zone that was cut off for a little over two leases were once given back. */
+  @Test
+  void aSilentMachineIsKeptForTheTimeThatAnotherWouldBoot() {
+    submit(World.job(1, JobKind.SERVICE, 4, 4));
+    world.run(30);
+    FakeWorker worker = busyWorker();
+    worker.hanging = true;
+    world.run(23);
+    assertFalse(worker.dead);
+    worker.hanging = false;
+    world.run(5);
+    assertFalse(worker.dead);
+  }
+
+  @Test
+  void roomForTheTasksOfASilentMachineIsRentedBeforeItsLeaseLapses() {
+    submit(World.job(1, JobKind.SERVICE, 4, 4));
+    world.run(150);
+    long before = world.liveHosts();
+    world.die(busyWorker().machine.name());
+    world.run(8);
+    assertEquals(before, world.liveHosts(), "one died and another is on its way");
+  }
+
   @Test
   void replicasOnHalfEmptyMachinesAreMovedTogether() {
     for (int i = 1; i <= 8; i++) {
