--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -49,6 +49,8 @@
   /** When each machine last reported here, whether this node leads or not. */
   private final Map<String, Long> heardMs = new HashMap<>();
 
+  private long heardCountedMs;
+
   private long deafCheckMs;
 
   private final Queue<Parked> parked = new ArrayDeque<>();
@@ -140,15 +142,18 @@
     }
   }
 
-  private PeerView view() {
-    int heard = 0;
-    for (long at : heardMs.values()) {
-      if (context.nowMs - at <= workers.silentMs()) {
-        heard++;
-      }
+  /** How many machines report here, counted once in half a pace. */
+  private int heard() {
+    if (context.nowMs - heardCountedMs >= context.paceMs() / 2) {
+      heardCountedMs = context.nowMs;
+      heardMs.values().removeIf(at -> context.nowMs - at > workers.silentMs());
     }
+    return heardMs.size();
+  }
+
+  private PeerView view() {
     return new PeerView(
-        context.settings.node(), term.number(), term.leading(), gate.servedAgeMs(), heard);
+        context.settings.node(), term.number(), term.leading(), gate.servedAgeMs(), heard());
   }
 
   /** A node that neither the state service nor any peer answers is cut off, and of no use. */
@@ -165,7 +170,7 @@
   private void tick() {
     term.tick();
     jobs.tick();
-    peers.tick(view());
+    peers.tick(this::view);
     users.tick();
     if (term.leading()) {
       if (rebuilt) {
--- a/src/main/java/eiderfork/core/Drain.java
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -131,12 +131,13 @@
       Bin best = null;
       double bestLeft = 0;
       for (Bin bin : bins) {
-        if (bin == from || !takes(job, from, bin)) {
+        // Most machines are full or elsewhere; what is quick to tell comes first.
+        Resources room = left.getOrDefault(bin, bin.left);
+        if (bin == from || !job.need().fitsIn(room) || !takes(job, from, bin)) {
           continue;
         }
-        Resources after = left.getOrDefault(bin, bin.left).minus(job.need());
-        double share = after.shareOf(bin.room);
-        if (Resources.NONE.fitsIn(after) && (best == null || share < bestLeft)) {
+        double share = room.minus(job.need()).shareOf(bin.room);
+        if (best == null || share < bestLeft) {
           best = bin;
           bestLeft = share;
         }
--- a/src/main/java/eiderfork/core/Fleet.java
+++ b/src/main/java/eiderfork/core/Fleet.java
@@ -97,8 +97,8 @@
   void settleAll(MachineEntry m) {
     for (Placed p : List.copyOf(m.placed)) {
       jobs.release(p, false);
+      m.remove(p);
     }
-    m.placed.clear();
   }
 
   /**
--- a/src/main/java/eiderfork/core/JobBook.java
+++ b/src/main/java/eiderfork/core/JobBook.java
@@ -107,7 +107,7 @@
         p.committed = true;
         entry.placed.put(index, p);
         entry.waiting.clear(index);
-        machine.placed.add(p);
+        machine.add(p);
       }
     }
     if (alloc.done()) {
@@ -200,7 +200,7 @@
 
   private static void drop(Placed p) {
     p.job.placed.remove(p.index);
-    p.machine.placed.remove(p);
+    p.machine.remove(p);
   }
 
   /**
@@ -221,7 +221,7 @@
     entry.lastAttempt = attempt;
     entry.placed.put(index, p);
     entry.waiting.clear(index);
-    machine.placed.add(p);
+    machine.add(p);
     entry.dirty = true;
     return p;
   }
--- a/src/main/java/eiderfork/core/MachineEntry.java
+++ b/src/main/java/eiderfork/core/MachineEntry.java
@@ -21,8 +21,12 @@
   /** What the type offers; null while the type is not known. */
   Resources room;
 
+  /** What is reserved here; changed by {@link #add} and {@link #remove} alone. */
   final Set<Placed> placed = new LinkedHashSet<>();
 
+  /** What the reservations take; kept, since rounds and plans ask for it at every machine. */
+  private Resources taken = Resources.NONE;
+
   /** The newest report of this term, null before the first. */
   Report report;
 
@@ -116,13 +120,22 @@
     room = type == null ? null : type.room();
   }
 
+  void add(Placed p) {
+    if (placed.add(p)) {
+      taken = taken.plus(p.job.job.need());
+    }
+  }
+
+  void remove(Placed p) {
+    if (placed.remove(p)) {
+      // Nothing is left of sums of decimal amounts where nothing is left of what was added.
+      taken = placed.isEmpty() ? Resources.NONE : taken.minus(p.job.job.need());
+    }
+  }
+
   /** What no reservation takes, whether its task has started or not. */
   Resources free() {
-    Resources left = room;
-    for (Placed p : placed) {
-      left = left.minus(p.job.job.need());
-    }
-    return left;
+    return room.minus(taken);
   }
 
   ImmutableList<eiderfork.model.TaskReport> tasks() {
--- a/src/main/java/eiderfork/core/Peers.java
+++ b/src/main/java/eiderfork/core/Peers.java
@@ -3,6 +3,7 @@
 import eiderfork.config.Settings;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /** What the peers say of themselves, and what this node tells them. */
 final class Peers {
@@ -30,10 +31,11 @@
     nextMs = context.nowMs + context.paceMs() * 5 / 2;
   }
 
-  void tick(PeerView own) {
+  void tick(Supplier<PeerView> view) {
     if (context.nowMs < nextMs) {
       return;
     }
+    PeerView own = view.get();
     nextMs = context.nowMs + context.paceMs();
     for (String node : context.settings.peers().keySet()) {
       if (asking.getOrDefault(node, false)) {
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -119,6 +119,13 @@
     zones.clear();
     proved.clear();
     looks = 0;
+    if (ranked.stream().noneMatch(this::mayPlace)) {
+      // Only ends are to be written.
+      for (JobEntry entry : ranked) {
+        left |= writeEnds(entry);
+      }
+      return left;
+    }
     for (MachineEntry m : fleet.machines()) {
       if (workers.usable(m)) {
         free.put(m, m.free());
@@ -139,19 +146,15 @@
     }
     Preemption preemption = new Preemption();
     for (JobEntry entry : ranked) {
-      if (entry.writing || entry.aborted || entry.aborting) {
-        left |= entry.writing && entry.dirty;
-        continue;
-      }
       int before = entry.placed.size();
-      if (mayPlace(entry)) {
+      if (!mayNotWrite(entry) && mayPlace(entry)) {
         place(entry, preemption);
       }
-      boolean starts = entry.placed.size() > before;
-      if (starts || (entry.dirty && context.nowMs - entry.writtenMs >= collectMs())) {
-        jobs.write(entry, starts ? Urgency.START : Urgency.DONE);
+      if (entry.placed.size() > before) {
+        jobs.write(entry, Urgency.START);
+      } else {
+        left |= writeEnds(entry);
       }
-      left |= entry.dirty;
     }
     makeRoomNotBeforeMs =
         Math.max(
@@ -160,6 +163,21 @@
     return left;
   }
 
+  private static boolean mayNotWrite(JobEntry entry) {
+    return entry.writing || entry.aborted || entry.aborting;
+  }
+
+  /** Writes what only ended, once it was collected for long enough; whether some is left. */
+  private boolean writeEnds(JobEntry entry) {
+    if (mayNotWrite(entry)) {
+      return entry.writing && entry.dirty;
+    }
+    if (entry.dirty && context.nowMs - entry.writtenMs >= collectMs()) {
+      jobs.write(entry, Urgency.DONE);
+    }
+    return entry.dirty;
+  }
+
   private long collectMs() {
     return (long) (context.paceMs() * context.settings.operator().roundShare());
   }
@@ -173,20 +191,22 @@
   /** The jobs with something to do, the most urgent first. */
   List<JobEntry> ranked() {
     usedByTeam.clear();
-    Resources onGpus = Resources.NONE;
+    double cpusOnGpus = 0;
+    double gpus = 0;
     Map<String, Resources> wantedByTeam = new HashMap<>();
     List<JobEntry> ranked = new ArrayList<>();
     for (JobEntry entry : jobs.active()) {
       Job job = entry.job;
       usedByTeam.merge(job.team(), job.need().times(entry.counted()), Resources::plus);
       if (job.need().gpus() > 0) {
-        onGpus = onGpus.plus(job.need().times(job.tasks()));
+        cpusOnGpus += job.need().cpus() * job.tasks();
+        gpus += job.need().gpus() * job.tasks();
       }
       if (!entry.waiting.isEmpty() || entry.dirty) {
         ranked.add(entry);
       }
     }
-    cpusPerGpu = onGpus.gpus() > 0 ? onGpus.cpus() / onGpus.gpus() : 0;
+    cpusPerGpu = gpus > 0 ? cpusOnGpus / gpus : 0;
     ranked.sort(
         Comparator.comparing((JobEntry entry) -> entry.job.priority())
             .thenComparingLong(entry -> entry.order));
--- a/src/main/java/eiderfork/core/Workers.java
+++ b/src/main/java/eiderfork/core/Workers.java
@@ -329,7 +329,7 @@
     for (MachineEntry m : fleet.machines()) {
       free -= m.commanding ? 1 : 0;
     }
-    for (MachineEntry m : List.copyOf(fleet.machines())) {
+    for (MachineEntry m : fleet.machines()) {
       if (rebuilt && !m.placed.isEmpty() && lapsed(m)) {
         LOG.info("machine {}: its lease has lapsed", m.name);
         fleet.settleAll(m);
@@ -358,6 +358,9 @@
    */
   boolean lapsed(MachineEntry m) {
     long renewedMs = m.answeredMs;
+    if (context.nowMs - renewedMs <= context.leaseMs()) {
+      return false;
+    }
     if (!shown(m)) {
       long overMs = olderTermsOverMs.getAsLong();
       if (overMs == Long.MAX_VALUE) {
--- a/src/main/java/eiderfork/net/HttpServer.java
+++ b/src/main/java/eiderfork/net/HttpServer.java
@@ -32,8 +32,6 @@
   /** The protocol's limit on a request body. */
   private static final int MOST_BODY = 64 * 1024;
 
-  private static final int BACKLOG = 256;
-
   /** A request and the way back. */
   static final class Exchange {
     final String method;
@@ -56,9 +54,15 @@
   }
 
   private final Consumer<Exchange> taker;
+  private final int backlog;
 
-  HttpServer(Consumer<Exchange> taker) {
+  /**
+   * @param backlog how many connections may wait to be accepted: every worker and user may turn to
+   *     this node in the same moment
+   */
+  HttpServer(Consumer<Exchange> taker, int backlog) {
     this.taker = taker;
+    this.backlog = backlog;
   }
 
   Channel listen(EventLoopGroup group, Endpoint endpoint) throws InterruptedException {
@@ -66,7 +70,7 @@
         .group(group)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_BACKLOG, backlog)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(
             new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/eiderfork/net/Node.java
+++ b/src/main/java/eiderfork/net/Node.java
@@ -53,8 +53,10 @@
   }
 
   public void start() throws InterruptedException {
-    new HttpServer(this::publicRequest).listen(group, settings.listen());
-    new HttpServer(this::peerRequest).listen(group, settings.peerListen());
+    new HttpServer(this::publicRequest, settings.controller().sockets())
+        .listen(group, settings.listen());
+    new HttpServer(this::peerRequest, settings.controller().sockets())
+        .listen(group, settings.peerListen());
     long tickMs = Math.max(1, controller.tickMs());
     loop.scheduleWithFixedDelay(this::tick, 0, tickMs, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(
--- a/src/main/java/eiderfork/net/Rehearsal.java
+++ b/src/main/java/eiderfork/net/Rehearsal.java
@@ -18,6 +18,9 @@
  * loading them is most of a start.
  */
 public final class Rehearsal {
+  /** One controller asks, over a handful of connections. */
+  private static final int STAND_IN_BACKLOG = 16;
+
   private static final long REPORTS = 8;
   private static final long PAUSE_MS = 150;
   private static final int TRIES = 5;
@@ -44,7 +47,7 @@
 
   private void play() throws Exception {
     Endpoint any = new Endpoint("127.0.0.1", 0);
-    int services = port(new HttpServer(this::standIn).listen(group, any));
+    int services = port(new HttpServer(this::standIn, STAND_IN_BACKLOG).listen(group, any));
     int publicPort = free();
     int peerPort = free();
     String settings =
