--- a/src/main/java/eiderfork/config/OperatorSettings.java
+++ b/src/main/java/eiderfork/config/OperatorSettings.java
@@ -4,8 +4,9 @@
  * What operators may set themselves, each with a default.
  *
  * @param roundShare how long the ends of a job's tasks are collected for one write, as a share of
- *     report_s
- * @param stateLeaseShare the leader's lease in the state service, as a share of lease_s
+ *     report_s, of which no more than a second counts
+ * @param stateLeaseShare the leader's lease in the state service, as a share of lease_s, of which
+ *     no more than ten seconds count
  * @param headroom how many standard deviations of arrivals within a boot time stay free
  * @param idleShare how long an unneeded machine is kept, as a share of its type's boot time
  * @param spot whether spot machines may be rented
