Cancellations confirmed in a gap: told by peers, holds end at a proven moment

Cause: the state service refuses the leader alone, a peer writes and confirms a cancellation, and in the outage that follows allWithoutState() held every task without bound. Excluded: a lost kill, since the leader never sent one. A hold by a sole leader was also measured from the end of its sure lease, not from what it last read.

Every node now keeps what it confirmed and passes it with its pings until acknowledged; holds end at the moment up to which no cancellation can be unknown. The scripted state service now ends watches in time as the protocol says; before, the fence was never answered there.

--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -2,9 +2,11 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.config.Settings;
+import eiderfork.model.Job;
 import eiderfork.model.Record;
 import eiderfork.model.Report;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,8 +26,9 @@
   /** Ticks in a pace: the finest grain of anything timed. */
   private static final int TICKS_PER_PACE = 20;
 
+  /** Cancellations come first: no worker's lease is renewed before they are known. */
   private static final String[] REBUILT_FROM = {
-    Keys.TYPES, Keys.JOB, Keys.ALLOC, Keys.ABORT, Keys.RENT, Keys.RETURN
+    Keys.ABORT, Keys.TYPES, Keys.JOB, Keys.ALLOC, Keys.RENT, Keys.RETURN
   };
 
   private final Context context;
@@ -39,6 +42,7 @@
   private final Planner planner;
   private final Peers peers;
   private final Fence fence;
+  private final Cancellations cancellations;
   private final Users users;
 
   private boolean rebuilt;
@@ -55,19 +59,24 @@
 
   private final Queue<Parked> parked = new ArrayDeque<>();
 
+  /** Reads that failed and are tried again at the next tick. */
+  private final List<Runnable> again = new ArrayList<>();
+
   public Controller(Settings settings, RandomGenerator random, long nowMs) {
     context = new Context(settings, random, nowMs);
     gate = new StateGate(context);
     term = new Term(context, gate, this);
     jobs = new JobBook(context, gate, term);
     fleet = new Fleet(context, jobs);
-    peers = new Peers(context, term);
-    workers = new Workers(context, term, jobs, fleet, peers::olderTermsOverMs, this::kick);
+    cancellations = new Cancellations(context, this::cancelled);
+    peers = new Peers(context, term, cancellations);
+    workers =
+        new Workers(context, term, jobs, fleet, cancellations, peers::olderTermsOverMs, this::kick);
     placer = new Placer(context, term, gate, jobs, fleet, workers);
     cloud = new Cloud(context, term, gate, fleet);
     planner = new Planner(context, gate, jobs, fleet, workers, cloud, placer);
-    fence = new Fence(gate, this::changed);
-    users = new Users(context, term, gate, jobs, fleet, planner, fence, this::kick);
+    fence = new Fence(context, gate, this::changed, cancellations::caughtUp);
+    users = new Users(context, term, gate, jobs, fleet, planner, fence, cancellations, this::kick);
   }
 
   /** Takes one input at {@code nowMs} of a steady clock, and says what follows from it. */
@@ -91,7 +100,7 @@
       queries(it);
     } else if (input instanceof Input.PeerPing it) {
       peers.heard(it.view());
-      context.emit(new Effect.AnswerPing(it.ticket(), view()));
+      context.emit(new Effect.AnswerPing(it.ticket(), view(it.view().node())));
     } else if (input instanceof Input.HealthCheck it) {
       health(it.ticket());
     }
@@ -151,9 +160,15 @@
     return heardMs.size();
   }
 
-  private PeerView view() {
+  /** What this node tells of itself to a peer. */
+  private PeerView view(String peer) {
     return new PeerView(
-        context.settings.node(), term.number(), term.leading(), gate.servedAgeMs(), heard());
+        context.settings.node(),
+        term.number(),
+        term.leading(),
+        gate.servedAgeMs(),
+        heard(),
+        cancellations.newsFor(peer));
   }
 
   /** A node that neither the state service nor any peer answers is cut off, and of no use. */
@@ -172,16 +187,17 @@
     jobs.tick();
     peers.tick(this::view);
     users.tick();
+    List<Runnable> due = List.copyOf(again);
+    again.clear();
+    due.forEach(Runnable::run);
     if (term.leading()) {
-      if (rebuilt) {
-        workers.tick();
-        if (term.sure()) {
-          cloud.tick();
-          if (context.nowMs >= nextPlanMs && !fleet.types().isEmpty()) {
-            nextPlanMs = context.nowMs + context.paceMs();
-            planner.plan();
-            roundWanted = true;
-          }
+      workers.tick();
+      if (rebuilt && term.sure()) {
+        cloud.tick();
+        if (context.nowMs >= nextPlanMs && !fleet.types().isEmpty()) {
+          nextPlanMs = context.nowMs + context.paceMs();
+          planner.plan();
+          roundWanted = true;
         }
       }
       resignIfUnheard();
@@ -224,35 +240,46 @@
 
   private void report(long ticket, Report report) {
     heardMs.put(report.machine().name(), context.nowMs);
-    if (term.leading() && (term.sure() || mayHold())) {
+    if (term.leading() && cancellations.mayRenew()) {
       workers.report(ticket, report);
-    } else if (!term.leading() && term.leader() == null) {
+    } else if (mayCome()) {
       parked.add(new Parked(ticket, report, context.nowMs));
     } else {
       redirect(ticket);
     }
   }
 
+  /**
+   * Whether this node may know soon what to answer a worker: who leads or, where it leads with a
+   * sure lease, which jobs were cancelled while the state service did not serve it.
+   */
+  private boolean mayCome() {
+    return term.leading() ? term.sure() : term.leader() == null;
+  }
+
   private void redirect(long ticket) {
     String leader = term.leader();
     context.emit(
         new Effect.RedirectWorker(ticket, context.settings.node().equals(leader) ? null : leader));
   }
 
-  /** A report that came while nobody was known to lead. */
+  /** A report that can't be answered yet. */
   private record Parked(long ticket, Report report, long sinceMs) {}
 
   /**
-   * Answers the parked reports once a leader is known, or after a pace. A worker turned away
-   * without a name tries the next node a second later, and after a crash of all nodes its lease has
-   * less than that left.
+   * Answers the parked reports once a leader is known, or after a pace; after two where this node
+   * leads and catches up. A worker turned away without a name tries the next node a second later,
+   * and after a crash of all nodes its lease has less than that left.
    */
   private void unpark() {
-    boolean known = term.leading() || term.leader() != null;
-    while (!parked.isEmpty()
-        && (known || context.nowMs - parked.peek().sinceMs >= context.paceMs())) {
+    long patienceMs = context.paceMs() * (term.leading() ? 2 : 1);
+    while (!parked.isEmpty()) {
+      boolean renew = term.leading() && cancellations.mayRenew();
+      if (!renew && mayCome() && context.nowMs - parked.peek().sinceMs < patienceMs) {
+        return;
+      }
       Parked it = parked.remove();
-      if (term.leading()) {
+      if (renew) {
         workers.report(it.ticket, it.report);
       } else {
         redirect(it.ticket);
@@ -260,14 +287,12 @@
     }
   }
 
-  /**
-   * Whether a leader without a sure lease still keeps its workers' tasks alive. A cancellation that
-   * another leader accepts must be able to end them in time, so unless no node has the state
-   * service, this ends early enough for the last lease to lapse within the cancellation time.
-   */
-  private boolean mayHold() {
-    long most = context.cancelMs() - Context.surely(context.leaseMs()) - 2 * context.paceMs();
-    return term.unsureMs() < most || peers.allWithoutState();
+  /** A job turns out to be cancelled; nothing of it may go on, whoever knows what of it. */
+  private void cancelled(String uid) {
+    if (term.leading()) {
+      jobs.markAborted(uid);
+      workers.cancelled(uid);
+    }
   }
 
   // Leading.
@@ -286,8 +311,10 @@
 
   private void forget() {
     rebuilt = false;
+    again.clear();
     users.ready(false);
     fence.stop();
+    cancellations.forget();
     jobs.clear();
     fleet.clear();
     cloud.clear();
@@ -313,12 +340,19 @@
       kick();
       return;
     }
+    long askedMs = context.nowMs;
     scan(
         REBUILT_FROM[part],
         "",
         number,
         this::restore,
-        seen -> rebuild(part + 1, number, revision < 0 ? seen : revision));
+        seen -> {
+          if (REBUILT_FROM[part].equals(Keys.ABORT)) {
+            // Pages are read one after the other, so only the first moment is sure.
+            cancellations.caughtUp(askedMs);
+          }
+          rebuild(part + 1, number, revision < 0 ? seen : revision);
+        });
   }
 
   private void scan(
@@ -335,7 +369,7 @@
             return;
           }
           if (!(reply instanceof Reply.Page page)) {
-            scan(prefix, after, number, taker, then);
+            again.add(() -> scan(prefix, after, number, taker, then));
             return;
           }
           String last = after;
@@ -356,14 +390,14 @@
     if (record instanceof Record.Unreadable it) {
       unreadable(item.key(), it);
     } else if (record instanceof Record.JobSpec spec) {
-      jobs.add(spec.job(), item.stamp());
+      add(spec.job(), item.stamp());
     } else if (record instanceof Record.Alloc alloc) {
       JobEntry entry = jobs.get(Keys.tail(item.key()));
       if (entry != null) {
         jobs.restore(entry, alloc, item.stamp(), fleet);
       }
     } else if (record instanceof Record.Aborted aborted) {
-      jobs.markAborted(aborted.uid());
+      cancellations.read(aborted.uid());
     } else if (record instanceof Record.Rent rent) {
       cloud.restoreRent(rent);
     } else if (record instanceof Record.Return back) {
@@ -375,6 +409,7 @@
 
   /** Follows what other nodes write: submissions and cancellations. */
   private void follow(String prefix, long number, long revision) {
+    long askedMs = context.nowMs;
     gate.send(
         // Short, so that a lost reply does not leave memory behind for long.
         new StateOp.Watch(prefix, revision, 2 * context.paceMs()),
@@ -385,6 +420,11 @@
           }
           if (reply instanceof Reply.Changes changes) {
             changes.items().forEach(this::changed);
+            if (prefix.equals(Keys.ABORT)) {
+              cancellations.caughtUp(askedMs);
+              // The service forgets old changes; the fence asks after none that came before.
+              fence.start(changes.revision());
+            }
             follow(prefix, number, changes.revision());
           } else if (reply instanceof Reply.Refused refused && refused.status() == 410) {
             scan(
@@ -394,7 +434,7 @@
                 (p, item) -> changed(item),
                 seen -> follow(prefix, number, seen));
           } else {
-            follow(prefix, number, revision);
+            again.add(() -> follow(prefix, number, revision));
           }
         });
   }
@@ -412,12 +452,20 @@
       unreadable(item.key(), it);
     } else if (item.record() instanceof Record.JobSpec spec) {
       if (jobs.get(spec.job().uid()) == null) {
-        jobs.add(spec.job(), item.stamp());
+        add(spec.job(), item.stamp());
         planner.arrived(spec.job());
         kick();
       }
     } else if (item.record() instanceof Record.Aborted aborted) {
-      jobs.markAborted(aborted.uid());
+      cancellations.read(aborted.uid());
+    }
+  }
+
+  /** The two watches run side by side, so a job may come after its own cancellation. */
+  private void add(Job job, long order) {
+    jobs.add(job, order);
+    if (cancellations.contains(job.uid())) {
+      jobs.markAborted(job.uid());
     }
   }
 }
--- a/src/main/java/eiderfork/core/Fence.java
+++ b/src/main/java/eiderfork/core/Fence.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 /**
  * Brings a leader's memory up to the cancellations committed before a question was asked. A peer
@@ -11,27 +12,36 @@
  * request serves every question that waits.
  */
 final class Fence {
+  private final Context context;
   private final StateGate gate;
   private final Consumer<Reply.Item> taker;
+  private final LongConsumer caughtUpTo;
   private List<Consumer<Boolean>> waiting = new ArrayList<>();
   private boolean asking;
   private long revision;
   private long round;
 
-  Fence(StateGate gate, Consumer<Reply.Item> taker) {
+  /**
+   * @param taker takes each cancellation
+   * @param caughtUpTo takes the moment of which all cancellations have been taken
+   */
+  Fence(Context context, StateGate gate, Consumer<Reply.Item> taker, LongConsumer caughtUpTo) {
+    this.context = context;
     this.gate = gate;
     this.taker = taker;
+    this.caughtUpTo = caughtUpTo;
   }
 
   /** Memory holds what was committed up to this revision. */
   void start(long upTo) {
-    revision = upTo;
+    revision = Math.max(revision, upTo);
   }
 
   /** Gives those who wait no for an answer: memory is not this node's to speak from any more. */
   void stop() {
     round++;
     asking = false;
+    revision = 0;
     List<Consumer<Boolean>> all = waiting;
     waiting = new ArrayList<>();
     all.forEach(each -> each.accept(false));
@@ -52,6 +62,7 @@
   private void ask() {
     asking = true;
     long of = round;
+    long askedMs = context.nowMs;
     List<Consumer<Boolean>> served = waiting;
     waiting = new ArrayList<>();
     gate.send(
@@ -63,6 +74,7 @@
             Reply.Changes changes = (Reply.Changes) reply;
             changes.items().forEach(taker);
             revision = Math.max(revision, changes.revision());
+            caughtUpTo.accept(askedMs);
           }
           served.forEach(each -> each.accept(caughtUp));
           if (of == round) {
--- a/src/main/java/eiderfork/core/JobBook.java
+++ b/src/main/java/eiderfork/core/JobBook.java
@@ -108,6 +108,7 @@
         entry.placed.put(index, p);
         entry.waiting.clear(index);
         machine.add(p);
+        machine.urgent |= entry.aborted;
       }
     }
     if (alloc.done()) {
--- a/src/main/java/eiderfork/core/PeerView.java
+++ b/src/main/java/eiderfork/core/PeerView.java
@@ -5,6 +5,12 @@
  *
  * @param stateAgeMs how long ago the state service last served the node
  * @param machinesHeard how many machines reported to it lately, whatever it answered
+ * @param news the cancellations that it confirmed and the receiver may not know
  */
 public record PeerView(
-    String node, long term, boolean leading, long stateAgeMs, int machinesHeard) {}
+    String node,
+    long term,
+    boolean leading,
+    long stateAgeMs,
+    int machinesHeard,
+    CancellationNews news) {}
--- a/src/main/java/eiderfork/core/Peers.java
+++ b/src/main/java/eiderfork/core/Peers.java
@@ -3,7 +3,7 @@
 import eiderfork.config.Settings;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.function.Supplier;
+import java.util.function.Function;
 
 /** What the peers say of themselves, and what this node tells them. */
 final class Peers {
@@ -14,6 +14,7 @@
 
   private final Context context;
   private final Term term;
+  private final Cancellations cancellations;
   private final Map<String, Seen> seen = new LinkedHashMap<>();
   private final Map<String, Boolean> asking = new LinkedHashMap<>();
 
@@ -23,25 +24,28 @@
   private long yieldedTo;
   private long nextMs;
 
-  Peers(Context context, Term term) {
+  Peers(Context context, Term term, Cancellations cancellations) {
     this.context = context;
     this.term = term;
+    this.cancellations = cancellations;
     // Election and first answers come before the first ping, which loads Avro: on a sliver of a
     // core that takes as long as the election.
     nextMs = context.nowMs + context.paceMs() * 5 / 2;
   }
 
-  void tick(Supplier<PeerView> view) {
+  /** Pings every peer that has answered the last ping, with what {@code view} tells it. */
+  void tick(Function<String, PeerView> view) {
     if (context.nowMs < nextMs) {
       return;
     }
-    PeerView own = view.get();
     nextMs = context.nowMs + context.paceMs();
     for (String node : context.settings.peers().keySet()) {
       if (asking.getOrDefault(node, false)) {
         continue;
       }
       asking.put(node, true);
+      long askedMs = context.nowMs;
+      PeerView own = view.apply(node);
       context.ask(
           call -> new Effect.AskPeerPing(call, node, own, context.paceMs()),
           reply -> {
@@ -49,6 +53,9 @@
             if (reply instanceof Reply.PeerSays says) {
               heard(says.view());
               yielded(node, says.view());
+              if (says.view().node().equals(node)) {
+                cancellations.answered(node, says.view().news(), askedMs);
+              }
             }
           });
     }
@@ -60,6 +67,7 @@
       return;
     }
     seen.put(view.node(), new Seen(view, context.nowMs));
+    cancellations.heard(view.node(), view.news());
     if (view.leading()) {
       term.heardLeader(view.node(), view.term());
     }
@@ -99,17 +107,6 @@
     return seen.values().stream().anyMatch(this::fresh);
   }
 
-  /** Whether every peer has been heard lately and none of them is served by the state service. */
-  boolean allWithoutState() {
-    for (String node : context.settings.peers().keySet()) {
-      Seen it = seen.get(node);
-      if (!fresh(it) || it.view.stateAgeMs() < context.paceMs() * REACH_PINGS) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   /** Whether a peer that has the state service hears more machines than {@code count}. */
   boolean betterHeard(int count) {
     return seen.values().stream()
--- a/src/main/java/eiderfork/core/Term.java
+++ b/src/main/java/eiderfork/core/Term.java
@@ -77,11 +77,6 @@
     return leading() && context.nowMs < leaseSureUntilMs;
   }
 
-  /** How long ago the lease stopped being sure. */
-  long unsureMs() {
-    return Math.max(0, context.nowMs - leaseSureUntilMs);
-  }
-
   long number() {
     return term;
   }
--- a/src/main/java/eiderfork/core/Users.java
+++ b/src/main/java/eiderfork/core/Users.java
@@ -40,6 +40,7 @@
   private final Fleet fleet;
   private final Planner planner;
   private final Fence fence;
+  private final Cancellations cancellations;
   private final Runnable kick;
 
   /** Submissions whose write is under way, with those that wait for its end. */
@@ -58,6 +59,7 @@
       Fleet fleet,
       Planner planner,
       Fence fence,
+      Cancellations cancellations,
       Runnable kick) {
     this.context = context;
     this.term = term;
@@ -66,6 +68,7 @@
     this.fleet = fleet;
     this.planner = planner;
     this.fence = fence;
+    this.cancellations = cancellations;
     this.kick = kick;
     forwards = new Forwards(context);
   }
@@ -79,9 +82,22 @@
     return ready && term.sure();
   }
 
+  /**
+   * The final state of a job that this node knows to be over, which no later answer contradicts.
+   */
+  private JobStatus over(String uid) {
+    JobStatus known = settled.get(uid);
+    if (known == null && cancellations.contains(uid)) {
+      JobEntry entry = jobs.get(uid);
+      int done = entry == null ? 0 : JobEntry.committedDone(entry.committed);
+      return new JobStatus(uid, JobStatus.Stance.ABORTED, done, 0);
+    }
+    return known;
+  }
+
   /** Takes a user's request, or one that a peer passed on, which is passed on no further. */
   void take(Input request, boolean passOn, Consumer<UserAnswer> asker) {
-    JobStatus over = settled.get(uid(request));
+    JobStatus over = over(uid(request));
     if (over != null) {
       asker.accept(UserAnswer.ok(over));
       return;
@@ -90,6 +106,9 @@
         it -> {
           if (it.job() != null) {
             settled.note(it.job());
+            if (it.job().stance() == JobStatus.Stance.ABORTED) {
+              cancellations.confirm(it.job().uid());
+            }
           } else if (!(request instanceof Input.Query) || LOG.isDebugEnabled()) {
             LOG.info(
                 "{} of {}: {}, {}",
--- a/src/main/java/eiderfork/core/Workers.java
+++ b/src/main/java/eiderfork/core/Workers.java
@@ -44,6 +44,7 @@
   private final Term term;
   private final JobBook jobs;
   private final Fleet fleet;
+  private final Cancellations cancellations;
   private final LongSupplier olderTermsOverMs;
   private final Runnable kick;
   private boolean rebuilt;
@@ -57,12 +58,14 @@
       Term term,
       JobBook jobs,
       Fleet fleet,
+      Cancellations cancellations,
       LongSupplier olderTermsOverMs,
       Runnable kick) {
     this.context = context;
     this.term = term;
     this.jobs = jobs;
     this.fleet = fleet;
+    this.cancellations = cancellations;
     this.olderTermsOverMs = olderTermsOverMs;
     this.kick = kick;
   }
@@ -136,11 +139,43 @@
     }
     m.answeredMs = context.nowMs;
     // While direct commands are under way, the two ways could overtake each other.
-    ImmutableList<Command> commands =
-        news && term.sure() && rebuilt && !m.commanding ? commands(m) : ImmutableList.of();
+    ImmutableList<Command> commands = ImmutableList.of();
+    if (news && !m.commanding) {
+      commands = mayCommand() ? commands(m) : stops(m);
+    }
     context.emit(new Effect.AnswerWorker(ticket, m.warrant, commands));
   }
 
+  /** Whether memory and lease allow any command; stopping what is cancelled asks for neither. */
+  private boolean mayCommand() {
+    return term.sure() && rebuilt;
+  }
+
+  /** A job turned out to be cancelled: what machines show of it is to stop. */
+  void cancelled(String uid) {
+    for (MachineEntry m : fleet.machines()) {
+      for (TaskReport task : m.tasks()) {
+        if (!task.ended() && task.attempt().task().job().equals(uid)) {
+          m.urgent = true;
+        }
+      }
+    }
+  }
+
+  /**
+   * The tasks of cancelled jobs, stopped at once. This is right without the state service and
+   * before anything is rebuilt: a confirmed cancellation is final.
+   */
+  private ImmutableList<Command> stops(MachineEntry m) {
+    ImmutableList.Builder<Command> list = ImmutableList.builder();
+    for (TaskReport task : m.tasks()) {
+      if (!task.ended() && cancellations.contains(task.attempt().task().job())) {
+        list.add(new Command.Kill(task.attempt(), 0));
+      }
+    }
+    return list.build();
+  }
+
   /** Takes a report if it is the newest; whether it was. */
   private boolean absorb(MachineEntry m, Report report) {
     Report before = m.report;
@@ -343,8 +378,12 @@
         if (!m.booting && context.nowMs - electedMs > context.paceMs() && free > forCommands) {
           reach(m);
         }
-      } else if (m.urgent && term.sure() && rebuilt && heard(m)) {
-        command(m);
+      } else if (m.urgent && heard(m)) {
+        if (mayCommand()) {
+          command(m);
+        } else {
+          stop(m);
+        }
       }
       free -= m.commanding ? 1 : 0;
     }
@@ -383,6 +422,14 @@
     }
   }
 
+  private void stop(MachineEntry m) {
+    ImmutableList<Command> stops = stops(m);
+    if (!stops.isEmpty()) {
+      m.commanding = true;
+      send(m, stops);
+    }
+  }
+
   private void command(MachineEntry m) {
     boolean raiseOnly = m.warrant > m.report.warrant();
     ImmutableList<Command> commands = commands(m);
--- a/src/main/java/eiderfork/wire/PeerWire.java
+++ b/src/main/java/eiderfork/wire/PeerWire.java
@@ -1,6 +1,7 @@
 package eiderfork.wire;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.CancellationNews;
 import eiderfork.core.Input;
 import eiderfork.core.PeerView;
 import eiderfork.core.Reply;
@@ -29,6 +30,8 @@
   private static final String SCHEMAS = "peer.avpr.json";
   private static final Schema UNION = load();
   private static final Schema VIEW = UNION.getTypes().get(0);
+  private static final Schema FIRST_VIEW = firstForm(VIEW);
+  private static final Schema NEWS = VIEW.getField("news").schema().getTypes().get(1);
   private static final Schema ASKED = UNION.getTypes().get(1);
   private static final Schema ANSWER = UNION.getTypes().get(2);
   private static final Schema QUESTIONS = UNION.getTypes().get(3);
@@ -44,6 +47,17 @@
     }
   }
 
+  /** The fields that a record had at first: those that came later have a default. */
+  private static Schema firstForm(Schema schema) {
+    List<Schema.Field> fields =
+        schema.getFields().stream()
+            .filter(field -> !field.hasDefaultValue())
+            .map(field -> new Schema.Field(field.name(), field.schema()))
+            .toList();
+    return Schema.createRecord(
+        schema.getName(), null, schema.getNamespace(), schema.isError(), fields);
+  }
+
   public static byte[] view(PeerView view) {
     GenericRecord record = new GenericData.Record(VIEW);
     record.put("node", view.node());
@@ -51,17 +65,49 @@
     record.put("leading", view.leading());
     record.put("stateAgeMs", view.stateAgeMs());
     record.put("machinesHeard", view.machinesHeard());
+    record.put("news", news(view.news()));
     return bytes(record);
   }
 
+  private static GenericRecord news(CancellationNews news) {
+    GenericRecord record = new GenericData.Record(NEWS);
+    record.put("process", news.process());
+    record.put("upMs", news.upMs());
+    record.put("after", news.after());
+    record.put("uids", news.uids());
+    record.put("complete", news.complete());
+    record.put("heardProcess", news.heardProcess());
+    record.put("heardUpTo", news.heardUpTo());
+    return record;
+  }
+
+  private static CancellationNews news(Object field) {
+    if (!(field instanceof GenericRecord record)) {
+      return CancellationNews.NONE;
+    }
+    return new CancellationNews(
+        (Long) record.get("process"),
+        (Long) record.get("upMs"),
+        (Long) record.get("after"),
+        strings((List<?>) record.get("uids")),
+        (Boolean) record.get("complete"),
+        (Long) record.get("heardProcess"),
+        (Long) record.get("heardUpTo"));
+  }
+
+  private static ImmutableList<String> strings(List<?> list) {
+    return list.stream().map(Object::toString).collect(ImmutableList.toImmutableList());
+  }
+
   public static PeerView view(byte[] bytes) throws BadMessage {
-    GenericRecord record = read(VIEW, bytes);
+    GenericRecord record = readView(bytes);
     return new PeerView(
         record.get("node").toString(),
         (Long) record.get("term"),
         (Boolean) record.get("leading"),
         (Long) record.get("stateAgeMs"),
-        (Integer) record.get("machinesHeard"));
+        (Integer) record.get("machinesHeard"),
+        news(record.get("news")));
   }
 
   public static byte[] request(Input request) {
@@ -107,11 +153,7 @@
   }
 
   public static ImmutableList<String> queries(byte[] bytes) throws BadMessage {
-    ImmutableList.Builder<String> uids = ImmutableList.builder();
-    for (Object uid : (List<?>) read(QUESTIONS, bytes).get("uids")) {
-      uids.add(uid.toString());
-    }
-    return uids.build();
+    return strings((List<?>) read(QUESTIONS, bytes).get("uids"));
   }
 
   public static byte[] answers(List<UserAnswer> answers) {
@@ -182,10 +224,23 @@
     }
   }
 
+  /** A peer of an earlier version ends after the fields that there were at first. */
+  private static GenericRecord readView(byte[] bytes) throws BadMessage {
+    try {
+      return read(VIEW, VIEW, bytes);
+    } catch (BadMessage e) {
+      return read(FIRST_VIEW, VIEW, bytes);
+    }
+  }
+
   private static GenericRecord read(Schema schema, byte[] bytes) throws BadMessage {
+    return read(schema, schema, bytes);
+  }
+
+  private static GenericRecord read(Schema writer, Schema schema, byte[] bytes) throws BadMessage {
     try {
       var decoder = DecoderFactory.get().binaryDecoder(bytes, null);
-      return new GenericDatumReader<GenericRecord>(schema).read(null, decoder);
+      return new GenericDatumReader<GenericRecord>(writer, schema).read(null, decoder);
     } catch (IOException | RuntimeException e) {
       // The decoder trusts lengths that it reads, and fails in many ways on bytes of something
       // else.
--- a/src/test/java/eiderfork/core/BudgetTest.java
+++ b/src/test/java/eiderfork/core/BudgetTest.java
@@ -64,7 +64,17 @@
     Term term = new Term(context, gate, null);
     JobBook jobs = new JobBook(context, gate, term);
     Fleet fleet = new Fleet(context, jobs);
-    Users users = new Users(context, term, gate, jobs, fleet, null, null, () -> {});
+    Users users =
+        new Users(
+            context,
+            term,
+            gate,
+            jobs,
+            fleet,
+            null,
+            null,
+            new Cancellations(context, uid -> {}),
+            () -> {});
     List<UserAnswer> refused = new ArrayList<>();
     for (int i = 0; i < 500; i++) {
       users.take(new Input.Query(i, "run-%06d".formatted(i)), true, refused::add);
--- /dev/null
+++ b/src/test/java/eiderfork/core/CancellationTest.java
@@ -0,0 +1,196 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.JobStatus.Stance;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What is confirmed as cancelled is gone in time, whatever the leader could hear of it. */
+class CancellationTest {
+  private final World world = new World(7);
+  private Job kept;
+  private Job cancelled;
+
+  @AfterEach
+  void rulesHold() {
+    assertEquals(List.of(), world.checker.breaches);
+  }
+
+  private void twoServicesRun() {
+    kept = World.job(1, JobKind.SERVICE, 3, 1);
+    cancelled = World.job(2, JobKind.SERVICE, 3, 1);
+    world.submit(kept);
+    world.submit(cancelled);
+    world.run(30);
+    assertEquals(3, world.checker.running(cancelled.uid()));
+  }
+
+  /** The index of a node that does not lead; there are two. */
+  private String peer(int which) {
+    return List.of("roost-0", "roost-1", "roost-2").stream()
+        .filter(node -> !node.equals(world.leader()))
+        .toList()
+        .get(which);
+  }
+
+  /** Recovers the state service after this time, with every lease in full. */
+  private void outage(long afterMs, long forMs) {
+    world.at(afterMs, () -> world.state.outage(world.nowMs));
+    world.at(afterMs + forMs, () -> world.state.recover(world.nowMs));
+  }
+
+  /**
+   * The state service refuses the leader alone, a peer confirms a cancellation, and then it is out
+   * for all while workers report to the old leader. Guarded by {@link Cancellations}: the peer
+   * tells what it confirmed with its pings, and the leader stops it without the state service.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {0, 20, 50, 100, 300, 700, 1200, 1460, 1490, 1510})
+  void aCancellationConfirmedInAGapReachesTheLeaderThroughThePeers(long afterMs) {
+    twoServicesRun();
+    world.refuse(world.leader(), 14_000);
+    String peer = peer(0);
+    world.at(afterMs, () -> world.abortAt(peer, cancelled.uid()));
+    outage(1500, 55_000);
+    world.run(40);
+    assertEquals(3, world.checker.running(kept.uid()), "held without the state service");
+    if (world.checker.finalStance(cancelled.uid()) == Stance.ABORTED) {
+      assertEquals(0, world.checker.running(cancelled.uid()));
+    }
+    world.run(30);
+  }
+
+  /** The same, and the peer that confirmed it ends, alone or with the other one. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 100, 300, 800, 1500, 3000, 8000})
+  void whatAPeerConfirmedBeforeItsEndIsGoneInTime(long afterMs) {
+    twoServicesRun();
+    world.refuse(world.leader(), 14_000);
+    String peer = peer(0);
+    String other = peer(1);
+    world.abortAt(peer, cancelled.uid());
+    world.at(afterMs, () -> world.crash(peer, 3000));
+    world.at(afterMs + 400, () -> world.crash(other, 3000));
+    outage(1500, 70_000);
+    world.run(100);
+    if (world.checker.finalStance(cancelled.uid()) == Stance.ABORTED) {
+      assertEquals(0, world.checker.running(cancelled.uid()));
+    }
+  }
+
+  /**
+   * A leader cut from the state service and from its peers, not from workers or users, can't hear
+   * of anything; it holds its workers' tasks no longer than what it knew at the cut allows.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {0, 30, 200, 1000, 3000, 6000, 12_000})
+  void aLeaderThatHearsNobodyLetsGoInTime(long afterMs) {
+    twoServicesRun();
+    String old = world.leader();
+    String peer = peer(0);
+    // The next leader can't reach the machines either.
+    world.cut("roost-0>*", 90_000);
+    world.cut("roost-1>*", 90_000);
+    world.cut("roost-2>*", 90_000);
+    world.isolate(old, 90_000);
+    world.at(afterMs, () -> world.abortAt(peer, cancelled.uid()));
+    world.run(60);
+    assertEquals(Stance.ABORTED, world.checker.finalStance(cancelled.uid()));
+    assertNotEquals(old, world.leader());
+    assertEquals(0, world.checker.running(cancelled.uid()));
+    world.run(60);
+    assertEquals(3, world.checker.running(kept.uid()));
+  }
+
+  /**
+   * A peer that is silent, or whose process is another than before the cut, proves nothing: the
+   * hold ends at the last proven moment. A whole outage with all peers in reach is held through.
+   */
+  @Test
+  void anOutageIsHeldThroughWhileAllPeersSayWhatTheyConfirmed() {
+    twoServicesRun();
+    int starts = world.checker.starts;
+    outage(0, 80_000);
+    world.run(85);
+    assertEquals(3, world.checker.running(kept.uid()));
+    assertEquals(3, world.checker.running(cancelled.uid()));
+    assertEquals(starts, world.checker.starts);
+  }
+
+  @Test
+  void aPeerStartedDuringAnOutageProvesNothing() {
+    twoServicesRun();
+    String peer = peer(0);
+    outage(0, 80_000);
+    world.at(2000, () -> world.crash(peer, 1000));
+    world.run(45);
+    assertEquals(0, world.checker.running(kept.uid()), "the hold ended at what was proven");
+    world.run(70);
+    assertEquals(3, world.checker.running(kept.uid()));
+  }
+
+  /**
+   * The state service comes back with the old leader's lease in full time. Renewing the lease says
+   * nothing of cancellations: no worker is answered before they have been read.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {14_000, 17_000, 19_000, 20_000, 21_000, 24_000})
+  void anOldLeaderThatIsServedAgainCatchesUpBeforeItAnswersWorkers(long outageMs) {
+    twoServicesRun();
+    String old = world.leader();
+    world.refuse(old, 1400 + outageMs);
+    String peer = peer(0);
+    world.abortAt(peer, cancelled.uid());
+    world.cut(old + ">" + peer, 90_000);
+    world.cut(peer + ">" + old, 90_000);
+    outage(1000, outageMs);
+    world.run(60);
+    assertEquals(Stance.ABORTED, world.checker.finalStance(cancelled.uid()));
+    assertEquals(0, world.checker.running(cancelled.uid()));
+  }
+
+  /** An outage catches a new leader between two reads of its rebuilding. */
+  @ParameterizedTest
+  @ValueSource(longs = {0, 10, 20, 30, 40, 50, 60, 70, 80, 100, 150})
+  void aNewLeaderThatHasNotRebuiltStopsWhatPeersConfirmed(long afterMs) {
+    twoServicesRun();
+    String old = world.leader();
+    String peer = peer(0);
+    world.crash(old, 90_000);
+    while (world.leader() == null || world.leader().equals(old)) {
+      world.run(0.002);
+    }
+    world.abortAt(peer, cancelled.uid());
+    outage(afterMs, 60_000);
+    world.run(50);
+    if (world.checker.finalStance(cancelled.uid()) == Stance.ABORTED) {
+      assertEquals(0, world.checker.running(cancelled.uid()));
+    }
+    world.run(60);
+    assertEquals(3, world.checker.running(kept.uid()));
+  }
+
+  /** A controller that stood still answers reports that came meanwhile with what it knew before. */
+  @ParameterizedTest
+  @ValueSource(longs = {3000, 9000, 15_000, 19_000, 23_000, 27_000})
+  void aLeaderThatStoodStillDoesNotSpeakFromBefore(long stillMs) {
+    twoServicesRun();
+    String old = world.leader();
+    String peer = peer(0);
+    world.abortAt(peer, cancelled.uid());
+    world.freeze(old, stillMs);
+    world.cut(old + ">state", 90_000);
+    world.cut("state>" + old, 90_000);
+    world.run(70);
+    assertEquals(0, world.checker.running(cancelled.uid()));
+    assertTrue(world.checker.running(kept.uid()) > 0);
+  }
+}
--- a/src/test/java/eiderfork/core/Checker.java
+++ b/src/test/java/eiderfork/core/Checker.java
@@ -27,10 +27,17 @@
   private final Set<String> abortAsked = new HashSet<>();
   private final Map<String, Long> abortToldMs = new HashMap<>();
   private final Map<TaskId, Map<String, Machine>> on = new HashMap<>();
+
+  /** Tasks that ran too long after their cancellation; each is told once. */
+  private final Set<TaskId> late = new HashSet<>();
+
   private final Map<String, Set<Integer>> completed = new HashMap<>();
   final List<String> breaches = new ArrayList<>();
   int starts;
 
+  /** Starts of jobs whose user had been told that they are cancelled, in time or not. */
+  int startsAfterCancellation;
+
   Checker(Map<String, Team> teams, long cancelMs) {
     this.teams = teams;
     this.cancelMs = cancelMs;
@@ -55,7 +62,8 @@
     return new Known(accepted.contains(uid), finals.get(uid));
   }
 
-  void told(long nowMs, String uid, UserAnswer answer, boolean submission, Known known) {
+  /** An answer arrives at a user; whether it says what no user was told before. */
+  boolean told(long nowMs, String uid, UserAnswer answer, boolean submission, Known known) {
     int status = answer.status();
     if (status == 404 && known.accepted) {
       breach("forgotten", uid);
@@ -64,14 +72,15 @@
       breach("forgotten", uid + " repeated got " + status);
     }
     if (status != 200 && status != 201) {
-      return;
+      return false;
     }
     if (!submitted.containsKey(uid)) {
       breach("invented", uid);
-      return;
+      return false;
     }
-    accepted.add(uid);
+    boolean news = accepted.add(uid);
     Stance stance = answer.job().stance();
+    news |= (stance == Stance.DONE || stance == Stance.ABORTED) && !finals.containsKey(uid);
     if (known.last != null && known.last != stance) {
       breach("went_back", uid + " from " + known.last + " to " + stance);
     }
@@ -88,6 +97,7 @@
     if (stance == Stance.DONE || stance == Stance.ABORTED) {
       finals.put(uid, stance);
     }
+    return news;
   }
 
   /** A task has its image on a machine and starts. */
@@ -111,6 +121,9 @@
     zones(task, job, machine);
     quota(job);
     late(nowMs, task);
+    if (abortToldMs.containsKey(task.job())) {
+      startsAfterCancellation++;
+    }
   }
 
   private void zones(TaskId task, Job job, Machine machine) {
@@ -166,7 +179,7 @@
 
   private void late(long nowMs, TaskId task) {
     Long told = abortToldMs.get(task.job());
-    if (told != null && nowMs - told > cancelMs) {
+    if (told != null && nowMs - told > cancelMs && late.add(task)) {
       breach("ran_cancelled", task + " " + (nowMs - told) + " ms after");
     }
   }
--- a/src/test/java/eiderfork/core/ControllerTest.java
+++ b/src/test/java/eiderfork/core/ControllerTest.java
@@ -58,7 +58,9 @@
     Term term = new Term(context, gate, null);
     JobBook jobs = new JobBook(context, gate, term);
     Fleet fleet = new Fleet(context, jobs);
-    Workers workers = new Workers(context, term, jobs, fleet, () -> Long.MAX_VALUE, () -> {});
+    Cancellations cancellations = new Cancellations(context, uid -> {});
+    Workers workers =
+        new Workers(context, term, jobs, fleet, cancellations, () -> Long.MAX_VALUE, () -> {});
     for (int i = 0; i < 100; i++) {
       fleet.known(new Machine("n-" + i, "n-" + i + ":1", "g4", "a", false));
     }
--- a/src/test/java/eiderfork/core/FakeState.java
+++ b/src/test/java/eiderfork/core/FakeState.java
@@ -13,7 +13,7 @@
 final class FakeState {
   private record Entry(Record record, long stamp, long lease) {}
 
-  private record Watcher(String prefix, long after, Consumer<Reply> then) {}
+  private record Watcher(String prefix, long after, long untilMs, Consumer<Reply> then) {}
 
   private final TreeMap<String, Entry> entries = new TreeMap<>();
   private final Map<Long, long[]> leases = new HashMap<>();
@@ -53,6 +53,9 @@
     if (out()) {
       return;
     }
+    List<Watcher> over = new ArrayList<>();
+    watchers.removeIf(w -> w.untilMs <= nowMs && over.add(w));
+    over.forEach(w -> w.then.accept(since(w.prefix, w.after)));
     leases
         .entrySet()
         .removeIf(
@@ -106,7 +109,7 @@
   void execute(StateOp op, long nowMs, Consumer<Reply> then) {
     if (out()) {
       if (op instanceof StateOp.Watch w) {
-        watchers.add(new Watcher(w.prefix(), w.after(), then));
+        watchers.add(new Watcher(w.prefix(), w.after(), nowMs + w.waitMs(), then));
       } else {
         then.accept(new Reply.Refused(503));
       }
@@ -135,8 +138,8 @@
       }
       then.accept(new Reply.Page(items.build(), more, ledger));
     } else if (op instanceof StateOp.Watch it) {
-      if (since(it.prefix(), it.after()).items().isEmpty()) {
-        watchers.add(new Watcher(it.prefix(), it.after(), then));
+      if (it.waitMs() > 0 && since(it.prefix(), it.after()).items().isEmpty()) {
+        watchers.add(new Watcher(it.prefix(), it.after(), nowMs + it.waitMs(), then));
       } else {
         then.accept(since(it.prefix(), it.after()));
       }
--- a/src/test/java/eiderfork/core/FenceTest.java
+++ b/src/test/java/eiderfork/core/FenceTest.java
@@ -15,8 +15,13 @@
   private final Context context = new Context(World.settings("roost-0"), new Random(1), 1000);
   private final StateGate gate = new StateGate(context);
   private final List<String> aborted = new ArrayList<>();
+  private final List<Long> caughtUp = new ArrayList<>();
   private final Fence fence =
-      new Fence(gate, item -> aborted.add(((Record.Aborted) item.record()).uid()));
+      new Fence(
+          context,
+          gate,
+          item -> aborted.add(((Record.Aborted) item.record()).uid()),
+          caughtUp::add);
 
   private Effect.AskState asked() {
     context.nowMs += 1000;
@@ -38,8 +43,11 @@
     fence.pass(ok -> told.add("third " + ok + aborted));
     fence.tick();
     assertTrue(context.takeEffects().isEmpty(), "a look is under way");
+    long askedMs = context.nowMs;
+    context.nowMs += 400;
     context.answered(look.call(), new Reply.Changes(ImmutableList.of(), 6));
     assertEquals(List.of("first true[]"), told);
+    assertEquals(List.of(askedMs), caughtUp, "it speaks of when it was asked, not of its arrival");
     Effect.AskState next = asked();
     assertEquals(new StateOp.Watch(Keys.ABORT, 6, 0), next.op());
     Reply.Item item = new Reply.Item("abort/run-1", new Record.Aborted("run-1"), 7);
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -76,6 +76,25 @@
   double late;
   double doubled;
   long lateMs = 15_000;
+
+  /** The chance that a transaction gets no answer and is carried out 2 to 12 s later. */
+  double lateWrites;
+
+  /** The chance that a transaction is carried out at once and only its answer is lost. */
+  double lostAnswers;
+
+  /** The chance that a copy of a report comes again, from 2 s to one and a half leases later. */
+  double lateReports;
+
+  /** The chance that a copy of a report is kept until a new leader begins, for every node. */
+  double reportsForNext;
+
+  private final List<eiderfork.model.Report> kept = new ArrayList<>();
+  private Record leadership;
+
+  /** Nodes that the state service refuses, while it serves the others. */
+  private final Set<String> refused = new HashSet<>();
+
   boolean cloudDown;
   int capacity = 10;
 
@@ -242,6 +261,15 @@
 
   private void tickWorld() {
     state.tick(nowMs);
+    if (!kept.isEmpty() && state.get(Keys.LEADER) != null) {
+      if (leadership != null && !leadership.equals(state.get(Keys.LEADER))) {
+        for (eiderfork.model.Report report : kept) {
+          nodes.keySet().forEach(node -> arrivesAgain(node, report));
+        }
+        kept.clear();
+      }
+      leadership = state.get(Keys.LEADER);
+    }
     for (String node : List.copyOf(nodes.keySet())) {
       input(node, new Input.Tick());
     }
@@ -287,7 +315,21 @@
     return cuts.contains(from + ">" + to);
   }
 
+  private final Map<String, Long> stillUntilMs = new HashMap<>();
+
+  /** The process stands still; what comes meanwhile waits for it. */
+  void freeze(String node, long forMs) {
+    stillUntilMs.put(node, nowMs + forMs);
+  }
+
   private void input(String node, Input input) {
+    long stillMs = stillUntilMs.getOrDefault(node, 0L) - nowMs;
+    if (stillMs > 0) {
+      if (!(input instanceof Input.Tick)) {
+        at(stillMs, () -> input(node, input));
+      }
+      return;
+    }
     Controller controller = nodes.get(node);
     if (controller != null) {
       for (Effect effect : controller.take(nowMs, input)) {
@@ -340,7 +382,14 @@
 
   private void carryOut(String node, Effect effect) {
     if (effect instanceof Effect.AskState it) {
-      call(node, it, "state", then -> state.execute(it.op(), nowMs, then));
+      if (it.op() instanceof StateOp.Transact && random.nextDouble() < lateWrites) {
+        at(2000 + random.nextLong(10_000), () -> state.execute(it.op(), nowMs, reply -> {}));
+        call(node, it, "nowhere", then -> {});
+      } else if (it.op() instanceof StateOp.Transact && random.nextDouble() < lostAnswers) {
+        call(node, it, "state", then -> serve(node, it.op(), reply -> {}));
+      } else {
+        call(node, it, "state", then -> serve(node, it.op(), then));
+      }
     } else if (effect instanceof Effect.AskTypes it) {
       cloud(node, it, () -> new Reply.Types(types));
     } else if (effect instanceof Effect.AskRent it) {
@@ -419,6 +468,51 @@
     }
   }
 
+  /** The state service refuses this node alone; its open watches wait. */
+  void refuse(String node, long forMs) {
+    refused.add(node);
+    at(forMs, () -> refused.remove(node));
+  }
+
+  private void serve(String node, StateOp op, Consumer<Reply> then) {
+    if (!refused.contains(node)) {
+      state.execute(op, nowMs, reply -> whenServed(node, () -> then.accept(reply)));
+    } else if (!(op instanceof StateOp.Watch)) {
+      then.accept(new Reply.Refused(503));
+    }
+  }
+
+  private void whenServed(String node, Runnable what) {
+    if (refused.contains(node)) {
+      at(TICK_MS, () -> whenServed(node, what));
+    } else {
+      what.run();
+    }
+  }
+
+  /** A controller loses the state service and its peers, not its workers or users. */
+  void isolate(String node, long forMs) {
+    cut(node + ">state", forMs);
+    for (int i = 0; i < 3; i++) {
+      cut(node + ">roost-" + i, forMs);
+      cut("roost-" + i + ">" + node, forMs);
+    }
+  }
+
+  /** The machine hears nobody while its reports arrive. */
+  void deafen(String machine, long forMs) {
+    for (int i = 0; i < 3; i++) {
+      cut("roost-" + i + ">" + machine, forMs);
+    }
+  }
+
+  /** The machine reaches no controller while commands reach it. */
+  void mute(String machine, long forMs) {
+    for (int i = 0; i < 3; i++) {
+      cut(machine + ">roost-" + i, forMs);
+    }
+  }
+
   private void ask(
       String node, java.util.function.LongFunction<Input> request, Consumer<Effect> then) {
     if (nodes.containsKey(node)) {
@@ -590,6 +684,13 @@
         });
     String name = w.machine.name();
     boolean cutOff = isCut("*", node) || isCut(name, node);
+    if (random.nextDouble() < lateReports) {
+      long leaseMs = (long) (settings.workers().leaseS() * 1000);
+      at(2000 + random.nextLong(leaseMs * 3 / 2), () -> arrivesAgain(node, report));
+    }
+    if (random.nextDouble() < reportsForNext) {
+      kept.add(report);
+    }
     int copies = random.nextDouble() < doubled ? 2 : 1;
     for (int i = 0; i < copies; i++) {
       long delay = cutOff ? -1 : delay(name, node);
@@ -611,6 +712,11 @@
     }
   }
 
+  /** An old copy; whatever it is answered reaches nobody. */
+  private void arrivesAgain(String node, eiderfork.model.Report report) {
+    ask(node, ticket -> new Input.WorkerReport(ticket, report), effect -> {});
+  }
+
   private void reported(FakeWorker w, boolean[] over, long sentMs, long session, Effect effect) {
     if (over[0] || w.dead || w.hanging) {
       return;
@@ -644,14 +750,42 @@
     user(ticket -> new Input.Abort(ticket, uid), uid, false, 0);
   }
 
+  /** Asks this node once to cancel. */
+  void abortAt(String node, String uid) {
+    checker.userAborts(uid);
+    user(node, ticket -> new Input.Abort(ticket, uid), uid, false, Integer.MAX_VALUE);
+  }
+
   /** Asks a random live node once. */
   void query(String uid) {
     user(ticket -> new Input.Query(ticket, uid), uid, false, Integer.MAX_VALUE);
   }
 
+  /** Asks all nodes at once, and submits the job once more at each. */
+  void lookClosely(String uid) {
+    for (int i = 0; i < 3; i++) {
+      String node = "roost-" + i;
+      user(node, ticket -> new Input.Query(ticket, uid), uid, false, Integer.MAX_VALUE);
+      Job job = jobs.get(uid);
+      user(
+          node, ticket -> new Input.Submit(ticket, job, new byte[0]), uid, true, Integer.MAX_VALUE);
+    }
+  }
+
+  /** After each answer that says something new of a job, all nodes are asked within moments. */
+  boolean closeLooks;
+
   private void user(
       java.util.function.LongFunction<Input> request, String uid, boolean submission, int tries) {
-    String node = "roost-" + random.nextInt(3);
+    user("roost-" + random.nextInt(3), request, uid, submission, tries);
+  }
+
+  private void user(
+      String node,
+      java.util.function.LongFunction<Input> request,
+      String uid,
+      boolean submission,
+      int tries) {
     boolean[] over = {false};
     Checker.Known known = checker.known(uid);
     Consumer<UserAnswer> end =
@@ -661,7 +795,12 @@
           }
           over[0] = true;
           if (answer != null) {
-            checker.told(nowMs, uid, answer, submission, known);
+            boolean news = checker.told(nowMs, uid, answer, submission, known);
+            if (closeLooks && news) {
+              for (int ms : new int[] {0, 1, 3, 10, 40, 120}) {
+                at(ms, () -> lookClosely(uid));
+              }
+            }
           }
           boolean again = answer == null || answer.status() >= 429;
           if (again && tries < 60) {
--- a/src/test/java/eiderfork/wire/WireTest.java
+++ b/src/test/java/eiderfork/wire/WireTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.CancellationNews;
 import eiderfork.core.Input;
 import eiderfork.core.PeerView;
 import eiderfork.core.Reply;
@@ -21,6 +22,7 @@
 import eiderfork.model.TaskId;
 import eiderfork.model.TaskReport;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -203,9 +205,19 @@
     assertEquals(new Reply.Refused(503), CloudWire.rented(503, bytes("{\"error\":\"trouble\"}")));
   }
 
+  @Test
+  void aPeerOfTheFirstVersionSaysNothingOfCancellations() throws BadMessage {
+    PeerView view = new PeerView("roost-1", 4, true, 12, 56, CancellationNews.NONE);
+    byte[] first = {14, 'r', 'o', 'o', 's', 't', '-', '1', 8, 1, 24, 112};
+    assertEquals(view, PeerWire.view(first));
+    assertThrows(BadMessage.class, () -> PeerWire.view(Arrays.copyOf(first, 11)));
+  }
+
   @Test
   void peersUnderstandEachOther() throws BadMessage {
-    PeerView view = new PeerView("roost-1", 4, true, 12, 56);
+    CancellationNews news =
+        new CancellationNews(77, 9000, 3, ImmutableList.of("run-1", "run-2"), true, 78, 12);
+    PeerView view = new PeerView("roost-1", 4, true, 12, 56, news);
     assertEquals(view, PeerWire.view(PeerWire.view(view)));
     Input.Submit submit =
         (Input.Submit)
