A job whose end is being written is not answered for from memory

Cause: the leader's write of a job's end is carried out and only its answer is lost; another node reads it and tells the user done, while the leader goes on answering from memory, running or pending. The fence reads cancellations only. Excluded: the other transactions. A cancellation comes with the fence, a submission unknown to memory is looked up.

Until such a write settles the state service is asked.

--- a/src/main/java/eiderfork/core/JobBook.java
+++ b/src/main/java/eiderfork/core/JobBook.java
@@ -239,6 +239,7 @@
     List<Placed> settled = List.copyOf(entry.uncommitted);
     entry.dirty = false;
     entry.writing = true;
+    entry.ending = record.done();
     entry.writtenMs = context.nowMs;
     send(entry, record, proposed, settled, urgency);
   }
@@ -308,6 +309,7 @@
       List<Placed> proposed,
       List<Placed> settled) {
     entry.writing = false;
+    entry.ending = false;
     entry.writeBackoff.reset();
     entry.committed = record;
     entry.allocStamp = stamp;
@@ -363,6 +365,7 @@
       return;
     }
     entry.writing = false;
+    entry.ending = false;
     markAborted(uid);
     dropUnsent(entry);
     retireIfOver(entry);
--- a/src/main/java/eiderfork/core/JobEntry.java
+++ b/src/main/java/eiderfork/core/JobEntry.java
@@ -43,6 +43,12 @@
   /** A write of the alloc key is under way. */
   boolean writing;
 
+  /**
+   * The write under way says that the job is done. It may have been carried out and read by another
+   * node already, whatever came back, so until it settles nobody is told the job's state from here.
+   */
+  boolean ending;
+
   /** When the last write of the alloc key was handed over. */
   long writtenMs;
 
--- a/src/main/java/eiderfork/core/Users.java
+++ b/src/main/java/eiderfork/core/Users.java
@@ -318,10 +318,10 @@
     JobEntry entry = jobs.get(uid);
     if (fromMemory() && entry != null && entry.over()) {
       answer.accept(UserAnswer.ok(entry.status()));
-    } else if (fromMemory() && entry != null) {
+    } else if (fromMemory() && entry != null && !entry.ending) {
       fence.pass(
           caughtUp -> {
-            if (caughtUp && fromMemory() && jobs.get(uid) == entry) {
+            if (caughtUp && fromMemory() && jobs.get(uid) == entry && !entry.ending) {
               answer.accept(UserAnswer.ok(entry.status()));
             } else {
               queryStored(uid, answer);
--- /dev/null
+++ b/src/test/java/eiderfork/core/AnswerTest.java
@@ -0,0 +1,182 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.JobStatus.Stance;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** No node answers a user with something older than what any node has told. */
+class AnswerTest {
+  private static LongStream seeds() {
+    return LongStream.rangeClosed(1, 20);
+  }
+
+  /** Users poll once more: every job is over, and every node says so. */
+  private static void allOver(World world, List<Job> jobs) {
+    jobs.forEach(job -> world.queryAll(job.uid()));
+    world.run(3);
+    rulesHold(world);
+    jobs.forEach(job -> assertNotNull(world.checker.finalStance(job.uid()), job::uid));
+  }
+
+  private static void rulesHold(World world) {
+    assertEquals(List.of(), world.checker.breaches);
+  }
+
+  /** Arrays of a few tasks that end one after the other, and services that are cancelled. */
+  private static List<Job> load(World world, int jobs) {
+    List<Job> all = new ArrayList<>();
+    for (int i = 1; i <= jobs; i++) {
+      Job job = World.job(i, i % 3 == 0 ? JobKind.SERVICE : JobKind.ARRAY, 1 + i % 3, i % 2);
+      all.add(job);
+      world.at(500L * i, () -> world.submit(job));
+      if (job.kind() == JobKind.SERVICE) {
+        world.at(12_000 + 700L * i, () -> world.abort(job.uid()));
+      }
+    }
+    return all;
+  }
+
+  /**
+   * All nodes are asked, and the submission is repeated at each, within milliseconds of every
+   * answer that says something new. Guards: {@link Fence} for cancellations that a peer wrote, the
+   * state service alone for what is not in memory, {@link SettledJobs} for what is over.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void nothingOlderIsToldWithinMomentsOfAnAnswer(long seed) {
+    World world = new World(seed);
+    world.closeLooks = true;
+    List<Job> jobs = load(world, 18);
+    world.run(60);
+    rulesHold(world);
+    allOver(world, jobs);
+  }
+
+  /**
+   * A transaction is carried out at once and only its answer is lost, while other nodes read what
+   * it wrote: the leader's own write of a job's end among them, which another node tells as done
+   * while the leader does not know yet. Until that settles it does not answer from memory.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void whatAnotherNodeReadIsNotContradictedWhileTheWritersAnswerIsLost(long seed) {
+    World world = new World(seed);
+    world.closeLooks = true;
+    world.at(5_000, () -> world.lostAnswers = 0.5);
+    // Polls reach the state service also through nodes that can't reach the leader.
+    world.at(5_000, () -> world.cut("roost-0>roost-2", 40_000));
+    world.at(5_000, () -> world.cut("roost-1>roost-2", 40_000));
+    world.at(5_000, () -> world.cut("roost-2>roost-0", 40_000));
+    List<Job> jobs = load(world, 18);
+    for (int i = 0; i < 900; i++) {
+      int number = 1 + i % 18;
+      world.at(8_000 + 50L * i, () -> world.queryAll("run-%06d".formatted(number)));
+    }
+    world.at(50_000, () -> world.lostAnswers = 0);
+    world.run(90);
+    rulesHold(world);
+    allOver(world, jobs);
+  }
+
+  /** The same with transactions that are carried out late, after newer ones. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void transactionsCarriedOutLateContradictNothing(long seed) {
+    World world = new World(seed);
+    world.closeLooks = true;
+    world.at(5_000, () -> world.lateWrites = 0.3);
+    List<Job> jobs = load(world, 18);
+    world.at(20_000, () -> world.crash(world.leader() == null ? "roost-0" : world.leader(), 3000));
+    world.at(50_000, () -> world.lateWrites = 0);
+    world.run(100);
+    rulesHold(world);
+    allOver(world, jobs);
+  }
+
+  /**
+   * A cancellation, a question or a repeated submission meets the end of a job's last task. The
+   * write of the end asks for no cancellation, and that of the cancellation for an unchanged alloc.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      ints = {0, 50, 100, 150, 200, 250, 300, 350, 400, 450, 500, 600, 700, 800, 900, 1000, 1200})
+  void aCancellationAtTheEndOfTheLastTaskIsAnsweredOnceAndForAll(int afterMs) {
+    for (String at : List.of("roost-0", "roost-1", "roost-2")) {
+      World world = new World(7);
+      world.closeLooks = true;
+      world.submit(World.job(1, JobKind.SERVICE, 1, 1));
+      world.run(20);
+      Job job = World.job(2, JobKind.ARRAY, 1, 1);
+      world.submit(job);
+      // It fetches for 0.7 s and runs for 4 s.
+      world.at(4600 + afterMs, () -> world.abortAt(at, job.uid()));
+      world.at(4600 + afterMs, () -> world.lookClosely(job.uid()));
+      world.run(20);
+      rulesHold(world);
+      world.query(job.uid());
+      world.run(2);
+      rulesHold(world);
+      assertNotNull(world.checker.finalStance(job.uid()));
+    }
+  }
+
+  /** A job is cancelled while its submission is still on its way at other nodes. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void aCancellationAtOnceIsKept(long seed) {
+    World world = new World(seed);
+    world.closeLooks = true;
+    world.run(10);
+    for (int i = 1; i <= 10; i++) {
+      Job job = World.job(i, JobKind.SERVICE, 2, 1);
+      world.submit(job);
+      world.at(i * 3L, () -> world.abort(job.uid()));
+      world.run(1);
+    }
+    world.run(30);
+    rulesHold(world);
+    for (int i = 1; i <= 10; i++) {
+      String uid = "run-%06d".formatted(i);
+      assertEquals(Stance.ABORTED, world.checker.finalStance(uid));
+      assertEquals(0, world.checker.running(uid));
+    }
+  }
+
+  /** What is malformed, impossible, unknown or over is answered for what it is, at any time. */
+  @Test
+  void oddRequestsAreAnsweredInTheMiddleOfATakeover() {
+    World world = new World(3);
+    Job done = World.job(1, JobKind.ARRAY, 1, 1);
+    Job running = World.job(2, JobKind.SERVICE, 1, 1);
+    world.submit(done);
+    world.submit(running);
+    world.run(30);
+    world.crash(world.leader(), 6000);
+    for (int i = 0; i < 200; i++) {
+      world.at(i * 40L, () -> world.abort(done.uid()));
+      world.at(i * 40L, () -> world.submit(running));
+      Job impossible = World.job(100 + i, JobKind.SERVICE, 1, 64);
+      world.at(i * 40L, () -> world.submit(impossible));
+      world.at(i * 40L, () -> world.query("run-009999"));
+    }
+    world.run(40);
+    rulesHold(world);
+    assertEquals(Stance.DONE, world.checker.finalStance(done.uid()));
+    assertEquals(1, world.checker.running(running.uid()));
+    for (int i = 0; i < 200; i++) {
+      String uid = "run-%06d".formatted(100 + i);
+      assertTrue(world.checker.wasRefused(uid), uid);
+    }
+  }
+}
--- a/src/test/java/eiderfork/core/Checker.java
+++ b/src/test/java/eiderfork/core/Checker.java
@@ -22,6 +22,7 @@
   private final Map<String, Team> teams;
   private final long cancelMs;
   private final Map<String, Job> submitted = new HashMap<>();
+  private final Set<String> refused = new HashSet<>();
   private final Set<String> accepted = new HashSet<>();
   private final Map<String, Stance> finals = new HashMap<>();
   private final Set<String> abortAsked = new HashSet<>();
@@ -35,6 +36,9 @@
   final List<String> breaches = new ArrayList<>();
   int starts;
 
+  /** Questions and requests that were answered with what is so. */
+  int answers;
+
   /** Starts of jobs whose user had been told that they are cancelled, in time or not. */
   int startsAfterCancellation;
 
@@ -65,12 +69,16 @@
   /** An answer arrives at a user; whether it says what no user was told before. */
   boolean told(long nowMs, String uid, UserAnswer answer, boolean submission, Known known) {
     int status = answer.status();
+    answers += status == 200 || status == 404 ? 1 : 0;
     if (status == 404 && known.accepted) {
       breach("forgotten", uid);
     }
     if (submission && (status == 400 || status == 422) && known.accepted) {
       breach("forgotten", uid + " repeated got " + status);
     }
+    if (submission && status == 422) {
+      refused.add(uid);
+    }
     if (status != 200 && status != 201) {
       return false;
     }
@@ -199,6 +207,11 @@
     return on.size();
   }
 
+  /** Whether a submission of it was refused as one that can never run. */
+  boolean wasRefused(String uid) {
+    return refused.contains(uid);
+  }
+
   boolean wasAccepted(String uid) {
     return accepted.contains(uid);
   }
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -95,6 +95,15 @@
   /** Nodes that the state service refuses, while it serves the others. */
   private final Set<String> refused = new HashSet<>();
 
+  /** How much longer the state service takes over each request. */
+  long stateDelayMs;
+
+  /** How long a rented machine boots; 0 for 2 to 8 s. */
+  long bootMs;
+
+  private long holdReportsUntilMs;
+  private long reportsHeldMs;
+
   boolean cloudDown;
   int capacity = 10;
 
@@ -475,6 +484,14 @@
   }
 
   private void serve(String node, StateOp op, Consumer<Reply> then) {
+    if (stateDelayMs > 0) {
+      at(stateDelayMs, () -> served(node, op, then));
+    } else {
+      served(node, op, then);
+    }
+  }
+
+  private void served(String node, StateOp op, Consumer<Reply> then) {
     if (!refused.contains(node)) {
       state.execute(op, nowMs, reply -> whenServed(node, () -> then.accept(reply)));
     } else if (!(op instanceof StateOp.Watch)) {
@@ -499,6 +516,50 @@
     }
   }
 
+  /** A zone's machines and one controller are cut off from the other controllers and the cloud. */
+  void cutZone(String zone, String inside, long forMs) {
+    for (int i = 0; i < 3; i++) {
+      String node = "roost-" + i;
+      if (node.equals(inside)) {
+        continue;
+      }
+      cut(node + ">" + inside, forMs);
+      cut(inside + ">" + node, forMs);
+      for (FakeWorker worker : workers()) {
+        if (worker.machine.zone().equals(zone)) {
+          cut(node + ">" + worker.machine.name(), forMs);
+          cut(worker.machine.name() + ">" + node, forMs);
+        }
+      }
+    }
+    cut(inside + ">state", forMs);
+    cut("state>" + inside, forMs);
+  }
+
+  /** Reports of the next second are held up for this long. */
+  void holdNextReports(long forMs) {
+    holdReportsUntilMs = nowMs + 1000;
+    reportsHeldMs = forMs;
+  }
+
+  /** All troubles are over. */
+  void quiet() {
+    loss = 0;
+    late = 0;
+    doubled = 0;
+    lateWrites = 0;
+    lostAnswers = 0;
+    lateReports = 0;
+    reportsForNext = 0;
+    cuts.clear();
+    refused.clear();
+    stillUntilMs.clear();
+    workers().forEach(worker -> worker.hanging = false);
+    if (state.out()) {
+      state.recover(nowMs);
+    }
+  }
+
   /** The machine hears nobody while its reports arrive. */
   void deafen(String machine, long forMs) {
     for (int i = 0; i < 3; i++) {
@@ -557,7 +618,8 @@
     Cloud.Kind kind = new Cloud.Kind(rent.type(), rent.zone(), rent.spot());
     int count = (int) Math.min(rent.count(), stock.getOrDefault(kind, capacity) - same);
     for (int i = 0; i < count; i++) {
-      addHost(rent.type(), rent.zone(), rent.spot(), 2000 + random.nextLong(6000));
+      long slowMs = 2000 + random.nextLong(6000);
+      addHost(rent.type(), rent.zone(), rent.spot(), bootMs > 0 ? bootMs : slowMs);
       names.add(hosts.lastKey());
     }
     if (count <= 0) {
@@ -693,12 +755,13 @@
     }
     int copies = random.nextDouble() < doubled ? 2 : 1;
     for (int i = 0; i < copies; i++) {
+      long heldMs = nowMs < holdReportsUntilMs ? reportsHeldMs : 0;
       long delay = cutOff ? -1 : delay(name, node);
       if (delay < 0) {
         continue;
       }
       at(
-          delay,
+          heldMs + delay,
           () ->
               ask(
                   node,
@@ -761,11 +824,19 @@
     user(ticket -> new Input.Query(ticket, uid), uid, false, Integer.MAX_VALUE);
   }
 
+  /** Asks all nodes at once. */
+  void queryAll(String uid) {
+    for (int i = 0; i < 3; i++) {
+      String node = "roost-" + i;
+      user(node, ticket -> new Input.Query(ticket, uid), uid, false, Integer.MAX_VALUE);
+    }
+  }
+
   /** Asks all nodes at once, and submits the job once more at each. */
   void lookClosely(String uid) {
+    queryAll(uid);
     for (int i = 0; i < 3; i++) {
       String node = "roost-" + i;
-      user(node, ticket -> new Input.Query(ticket, uid), uid, false, Integer.MAX_VALUE);
       Job job = jobs.get(uid);
       user(
           node, ticket -> new Input.Submit(ticket, job, new byte[0]), uid, true, Integer.MAX_VALUE);
@@ -802,7 +873,9 @@
               }
             }
           }
-          boolean again = answer == null || answer.status() >= 429;
+          // A cancellation is repeated until it is confirmed or the job is done.
+          boolean again =
+              answer == null || answer.status() >= 429 || (!submission && answer.status() != 200);
           if (again && tries < 60) {
             at(1000, () -> user(request, uid, submission, tries + 1));
           }
