--- /dev/null
+++ b/src/test/java/eiderfork/core/QuotaTest.java
@@ -0,0 +1,158 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Priority;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A team's limit holds whatever can't be asked, and what is free under it is used. */
+class QuotaTest {
+  /** The red team may use ten GPUs. */
+  private static Job red(int number, JobKind kind, int tasks, double gpus) {
+    return World.job(number, kind, tasks, gpus, "red", Priority.HIGH, false, false);
+  }
+
+  /** Fills the team's limit and has more of it wait. */
+  private static List<Job> fullTeam(World world) {
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 1; i <= 5; i++) {
+      jobs.add(red(i, JobKind.SERVICE, 1, 2));
+    }
+    jobs.forEach(world::submit);
+    world.run(25);
+    assertEquals(5, world.checker.runningTasks());
+    for (int i = 6; i <= 10; i++) {
+      Job next = red(i, JobKind.SERVICE, 1, 2);
+      jobs.add(next);
+      world.submit(next);
+    }
+    world.run(2);
+    return jobs;
+  }
+
+  private static List<FakeWorker> busy(World world) {
+    return world.workers().stream().filter(w -> !w.present().isEmpty()).toList();
+  }
+
+  /**
+   * A team is at its limit, jobs of it are cancelled whose machines hang or are cut off, and the
+   * leader changes. The cancelled tasks count until their machines are heard or surely lapsed: a
+   * new leader takes that over from the alloc records.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {-1500, -700, -300, -100, 0, 50, 150, 400, 900, 2000, 4000, 8000})
+  void cancelledTasksOnMachinesThatCannotBeAskedCountAcrossATakeover(int crashAfterMs) {
+    for (boolean hang : new boolean[] {true, false}) {
+      World world = new World(5);
+      List<Job> jobs = fullTeam(world);
+      List<FakeWorker> unheard = busy(world);
+      world.at(
+          2000,
+          () -> {
+            for (FakeWorker worker : unheard) {
+              if (hang) {
+                worker.hanging = true;
+                world.at(8000, () -> worker.hanging = false);
+              } else {
+                world.deafen(worker.machine.name(), 8000);
+                world.mute(worker.machine.name(), 8000);
+              }
+            }
+          });
+      world.at(2050, () -> jobs.subList(0, 5).forEach(job -> world.abort(job.uid())));
+      world.at(2050 + crashAfterMs, () -> world.crash(world.leader(), 3000));
+      world.run(40);
+      Outcome.allServed(world, jobs);
+      assertEquals(5, world.checker.runningTasks(), "what waited has the room of the cancelled");
+    }
+  }
+
+  /** The same, and the machines stay away for longer than a lease, some for good. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 300, 1500, 6000, 12_000})
+  void theLimitIsFreeAgainOnceTheLeasesHaveLapsed(int crashAfterMs) {
+    World world = new World(6);
+    List<Job> jobs = fullTeam(world);
+    List<FakeWorker> unheard = busy(world);
+    for (int i = 0; i < unheard.size(); i++) {
+      FakeWorker worker = unheard.get(i);
+      if (i % 2 == 0) {
+        worker.hanging = true;
+        world.at(24_000, () -> worker.hanging = false);
+      } else {
+        world.die(worker.machine.name());
+      }
+    }
+    jobs.subList(0, 5).forEach(job -> world.abort(job.uid()));
+    world.at(crashAfterMs, () -> world.crash(world.leader(), 3000));
+    world.run(60);
+    Outcome.allServed(world, jobs);
+    assertEquals(5, world.checker.runningTasks());
+  }
+
+  /** A team is at its limit when the leader changes, and a cancellation falls into that spell. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 500, 1000, 1500, 2000, 2500, 3000, 3300, 3400, 3500, 3700, 4000, 5000})
+  void aCancellationWhileNobodyLeadsFreesTheLimitOnce(int abortAfterMs) {
+    World world = new World(8);
+    List<Job> jobs = fullTeam(world);
+    FakeWorker deaf = busy(world).get(0);
+    world.deafen(deaf.machine.name(), 9000);
+    world.mute(deaf.machine.name(), 9000);
+    world.crash(world.leader(), 6000);
+    world.at(abortAfterMs, () -> world.abort(jobs.get(0).uid()));
+    world.at(abortAfterMs + 100, () -> world.abort(jobs.get(1).uid()));
+    world.run(40);
+    Outcome.rulesHold(world);
+    assertEquals(5, world.checker.runningTasks());
+  }
+
+  /** One-task jobs come four a second for minutes, a quarter of them cancelled. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2})
+  void shortJobsFourASecondForMinutes(long seed) {
+    World world = new World(seed);
+    world.late = 0.01;
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 1; i <= 480; i++) {
+      Job job =
+          i % 2 == 0
+              ? red(i, JobKind.ARRAY, 1, 1)
+              : World.job(i, JobKind.ARRAY, 1, i % 4 == 1 ? 1 : 0);
+      jobs.add(job);
+      world.at(10_000 + i * 250L, () -> world.submit(job));
+      if (i % 4 == 0) {
+        world.at(10_000 + i * 250L + (i * 37) % 6000, () -> world.abort(job.uid()));
+      }
+    }
+    world.at(60_000, () -> world.crash(world.leader(), 3000));
+    world.run(150);
+    Outcome.allServed(world, jobs);
+  }
+
+  /** There is more work than room, urgent and not, over slow links. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void moreWorkThanRoomOverSlowLinks(long seed) {
+    World world = new World(seed);
+    world.capacity = 1;
+    world.late = 0.2;
+    world.lateMs = 1500;
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 1; i <= 24; i++) {
+      Priority priority = Priority.values()[i % 4];
+      Job job = World.job(i, JobKind.ARRAY, 1 + i % 6, i % 3, "blue", priority, false, i % 2 == 0);
+      jobs.add(job);
+      world.at(i * 700L, () -> world.submit(job));
+    }
+    world.run(60);
+    Outcome.allServed(world, jobs);
+    assertTrue(world.checker.starts >= jobs.stream().mapToInt(Job::tasks).sum());
+  }
+}
