Deputies renew leases in a zone that the leader can't reach

Where all nodes stand in one zone nothing changes. DeputyTest on seven nodes: rules and tasks through splits with crashes, outages, late writes. Further tests of quota: ends not committed yet, starts under way.

--- a/src/main/java/eiderfork/config/Settings.java
+++ b/src/main/java/eiderfork/config/Settings.java
@@ -11,6 +11,7 @@
     Endpoint listen,
     Endpoint peerListen,
     ImmutableMap<String, Endpoint> peers,
+    ImmutableMap<String, String> peerZones,
     Endpoint cloud,
     Endpoint state,
     ImmutableMap<String, Team> teams,
--- a/src/main/java/eiderfork/config/SettingsFile.java
+++ b/src/main/java/eiderfork/config/SettingsFile.java
@@ -49,8 +49,10 @@
 
   private Settings settings(JsonNode root, OperatorSettings operator) throws BadSettings {
     ImmutableMap.Builder<String, Settings.Endpoint> peers = ImmutableMap.builder();
+    ImmutableMap.Builder<String, String> peerZones = ImmutableMap.builder();
     for (JsonNode peer : root.path("others")) {
       peers.put(text(peer, "", "host_name"), endpoint(peer, "", "endpoint"));
+      peerZones.put(text(peer, "", "host_name"), text(peer, "", "zone"));
     }
     JsonNode endpoints = table(root, "", "endpoints");
     JsonNode deployment = table(root, "", "deployment");
@@ -113,6 +115,7 @@
         endpoint(root, "", "public_addr"),
         endpoint(root, "", "peer_listen"),
         peers.buildKeepingLast(),
+        peerZones.buildKeepingLast(),
         endpoint(endpoints, "endpoints", "cloud"),
         endpoint(endpoints, "endpoints", "state"),
         teams.buildKeepingLast(),
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -8,10 +8,14 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -43,6 +47,7 @@
   private final Peers peers;
   private final Fence fence;
   private final Cancellations cancellations;
+  private final Deputy deputy;
   private final Users users;
 
   private boolean rebuilt;
@@ -70,8 +75,10 @@
     fleet = new Fleet(context, jobs);
     cancellations = new Cancellations(context, this::cancelled);
     peers = new Peers(context, term, cancellations);
+    deputy = new Deputy(context, gate, term, peers, cancellations);
     workers =
-        new Workers(context, term, jobs, fleet, cancellations, peers::olderTermsOverMs, this::kick);
+        new Workers(
+            context, term, jobs, fleet, cancellations, peers, this::readDeputed, this::kick);
     placer = new Placer(context, term, gate, jobs, fleet, workers);
     cloud = new Cloud(context, term, gate, fleet);
     planner = new Planner(context, gate, jobs, fleet, workers, cloud, placer);
@@ -157,7 +164,8 @@
       heardCountedMs = context.nowMs;
       heardMs.values().removeIf(at -> context.nowMs - at > workers.silentMs());
     }
-    return heardMs.size();
+    // Machines that have to be answered here don't need this node to lead.
+    return Math.max(0, heardMs.size() - deputy.machines());
   }
 
   /** What this node tells of itself to a peer. */
@@ -187,6 +195,8 @@
     jobs.tick();
     peers.tick(this::view);
     users.tick();
+    deputy.retry();
+    deputy.tick();
     List<Runnable> due = List.copyOf(again);
     again.clear();
     due.forEach(Runnable::run);
@@ -242,10 +252,12 @@
     heardMs.put(report.machine().name(), context.nowMs);
     if (term.leading() && cancellations.mayRenew()) {
       workers.report(ticket, report);
-    } else if (mayCome()) {
+    } else if (deputy.takes(report) && deputy.ready(report)) {
+      deputy.answer(ticket, report);
+    } else if (deputy.takes(report) || mayCome()) {
       parked.add(new Parked(ticket, report, context.nowMs));
     } else {
-      redirect(ticket);
+      redirect(ticket, report);
     }
   }
 
@@ -257,8 +269,9 @@
     return term.leading() ? term.sure() : term.leader() == null;
   }
 
-  private void redirect(long ticket) {
+  private void redirect(long ticket, Report report) {
     String leader = term.leader();
+    deputy.sentAway(report);
     context.emit(
         new Effect.RedirectWorker(ticket, context.settings.node().equals(leader) ? null : leader));
   }
@@ -268,22 +281,25 @@
 
   /**
    * Answers the parked reports once a leader is known, or after a pace; after two where this node
-   * leads and catches up. A worker turned away without a name tries the next node a second later,
-   * and after a crash of all nodes its lease has less than that left.
+   * leads and catches up, or is to answer in the leader's place. A worker turned away without a
+   * name tries the next node a second later, and after a crash of all nodes its lease has less than
+   * that left.
    */
   private void unpark() {
-    long patienceMs = context.paceMs() * (term.leading() ? 2 : 1);
-    while (!parked.isEmpty()) {
-      boolean renew = term.leading() && cancellations.mayRenew();
-      if (!renew && mayCome() && context.nowMs - parked.peek().sinceMs < patienceMs) {
-        return;
-      }
-      Parked it = parked.remove();
-      if (renew) {
+    for (Iterator<Parked> all = parked.iterator(); all.hasNext(); ) {
+      Parked it = all.next();
+      boolean takes = deputy.takes(it.report);
+      long patienceMs = context.paceMs() * (takes || term.leading() ? 2 : 1);
+      if (term.leading() && cancellations.mayRenew()) {
         workers.report(it.ticket, it.report);
+      } else if (takes && deputy.ready(it.report)) {
+        deputy.answer(it.ticket, it.report);
+      } else if ((takes || mayCome()) && context.nowMs - it.sinceMs < patienceMs) {
+        continue;
       } else {
-        redirect(it.ticket);
+        redirect(it.ticket, it.report);
       }
+      all.remove();
     }
   }
 
@@ -299,6 +315,7 @@
 
   @Override
   public void elected() {
+    deputy.stop();
     forget();
     workers.elected();
     rebuild(0, term.number(), -1);
@@ -385,6 +402,24 @@
         });
   }
 
+  /** Reads which machines other nodes answer in this one's place; null where a record is spoilt. */
+  private void readDeputed(Consumer<Set<String>> then) {
+    Set<String> names = new HashSet<>();
+    boolean[] whole = {true};
+    scan(
+        Keys.DEPUTY,
+        "",
+        term.number(),
+        (prefix, item) -> {
+          if (item.record() instanceof Record.Deputed it) {
+            names.addAll(it.machines());
+          } else {
+            whole[0] = false;
+          }
+        },
+        revision -> then.accept(whole[0] ? names : null));
+  }
+
   private void restore(String prefix, Reply.Item item) {
     Record record = item.record();
     if (record instanceof Record.Unreadable it) {
--- a/src/main/java/eiderfork/core/MachineEntry.java
+++ b/src/main/java/eiderfork/core/MachineEntry.java
@@ -42,6 +42,9 @@
   /** When a report was last answered, so that the worker's lease may have been renewed. */
   long answeredMs;
 
+  /** When a record was last seen by which another node answers its worker; 0 for never. */
+  long deputedMs;
+
   /** When anything last proved that the machine exists. */
   long aliveMs;
 
--- a/src/main/java/eiderfork/core/Peers.java
+++ b/src/main/java/eiderfork/core/Peers.java
@@ -102,6 +102,27 @@
     return it != null && context.nowMs - it.atMs <= context.paceMs() * REACH_PINGS;
   }
 
+  /** Whether this peer has been heard lately. */
+  boolean reached(String node) {
+    return fresh(seen.get(node));
+  }
+
+  /**
+   * Whether another zone seems out of reach as a whole: none of its nodes has been heard lately,
+   * and one of this zone has.
+   */
+  boolean apart(String zone) {
+    boolean own = false;
+    for (Map.Entry<String, String> peer : context.settings.peerZones().entrySet()) {
+      boolean reached = reached(peer.getKey());
+      if (peer.getValue().equals(zone) && reached) {
+        return false;
+      }
+      own |= peer.getValue().equals(context.settings.zone()) && reached;
+    }
+    return own && !zone.equals(context.settings.zone());
+  }
+
   /** Whether any peer has been heard lately. */
   boolean anyReached() {
     return seen.values().stream().anyMatch(this::fresh);
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -44,9 +44,6 @@
    */
   private static final int PATIENCE_LEASES = 2;
 
-  /** The share of a lease after which a silent machine is not counted on any more. */
-  private static final double DOUBTFUL_SHARE = 0.5;
-
   /** A returned machine costs this long at least. */
   static final long MIN_CHARGE_MS = 60_000;
 
@@ -250,7 +247,7 @@
     for (MachineEntry m : fleet.machines()) {
       if (m.report != null && !m.returning) {
         live++;
-        if (workers.silentForMs(m) > context.leaseMs() * DOUBTFUL_SHARE) {
+        if (workers.doubtful(m)) {
           doubtful.add(m);
         }
       }
@@ -408,7 +405,9 @@
         if (type != null && overdue(m, type, FAILED_BOOT)) {
           cloud.giveBackSilent(m, "it does not come up");
         }
-      } else if (believe && workers.silentForMs(m) > PATIENCE_LEASES * context.leaseMs() + bootMs) {
+      } else if (believe
+          && !workers.deputed(m)
+          && workers.silentForMs(m) > PATIENCE_LEASES * context.leaseMs() + bootMs) {
         cloud.giveBackSilent(m, "it is silent");
       } else if (believe && workers.heard(m) && workers.deaf(m) && deafTooLong(m)) {
         cloud.giveBack(m, "commands do not reach it");
--- a/src/main/java/eiderfork/core/Workers.java
+++ b/src/main/java/eiderfork/core/Workers.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.LongSupplier;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,6 +34,12 @@
 
   private static final double SILENT_PACES = 1.35;
 
+  /** The share of a lease after which machines for the tasks of a silent one are planned. */
+  private static final double DOUBT_SHARE = 0.5;
+
+  /** The same where its whole zone can't be reached, for deputies take until then to begin. */
+  private static final double APART_DOUBT_SHARE = 0.75;
+
   /** Jobs that must fail on a machine, and end well elsewhere or not have run, to condemn it. */
   private static final int FAULTY_ERRORS = 2;
 
@@ -45,13 +51,16 @@
   private final JobBook jobs;
   private final Fleet fleet;
   private final Cancellations cancellations;
-  private final LongSupplier olderTermsOverMs;
+  private final Peers peers;
+  private final Consumer<Consumer<Set<String>>> readDeputed;
+  private boolean readingDeputed;
+  private long readDeputedNotBeforeMs;
   private final Runnable kick;
   private boolean rebuilt;
   private long electedMs;
 
   /**
-   * @param olderTermsOverMs since when no older leader can answer a worker
+   * @param readDeputed reads which machines other nodes answer in this one's place
    */
   Workers(
       Context context,
@@ -59,19 +68,22 @@
       JobBook jobs,
       Fleet fleet,
       Cancellations cancellations,
-      LongSupplier olderTermsOverMs,
+      Peers peers,
+      Consumer<Consumer<Set<String>>> readDeputed,
       Runnable kick) {
     this.context = context;
     this.term = term;
     this.jobs = jobs;
     this.fleet = fleet;
     this.cancellations = cancellations;
-    this.olderTermsOverMs = olderTermsOverMs;
+    this.peers = peers;
+    this.readDeputed = readDeputed;
     this.kick = kick;
   }
 
   void elected() {
     rebuilt = false;
+    readingDeputed = false;
     electedMs = context.nowMs;
   }
 
@@ -364,12 +376,8 @@
     for (MachineEntry m : fleet.machines()) {
       free -= m.commanding ? 1 : 0;
     }
+    settleLapsed();
     for (MachineEntry m : fleet.machines()) {
-      if (rebuilt && !m.placed.isEmpty() && lapsed(m)) {
-        LOG.info("machine {}: its lease has lapsed", m.name);
-        fleet.settleAll(m);
-        kick.run();
-      }
       if (m.addr() == null || m.commanding || context.nowMs < m.commandNotBeforeMs || free <= 0) {
         continue;
       }
@@ -389,6 +397,75 @@
     }
   }
 
+  /** Whether another node answered the machine's worker in this one's place not long ago. */
+  boolean deputed(MachineEntry m) {
+    return m.deputedMs > 0 && context.nowMs - m.deputedMs <= 2 * context.paceMs();
+  }
+
+  /**
+   * Whether a machine that is silent may be lost. For a while it is not where its whole zone can't
+   * be reached, and nodes there may answer for this one.
+   */
+  boolean doubtful(MachineEntry m) {
+    double share = peers.apart(m.zone()) ? APART_DOUBT_SHARE : DOUBT_SHARE;
+    return !deputed(m) && silentForMs(m) > context.leaseMs() * share;
+  }
+
+  /** Takes the tasks off machines whose leases have lapsed, unless a deputy renewed them. */
+  private void settleLapsed() {
+    if (!rebuilt || readingDeputed || context.nowMs < readDeputedNotBeforeMs) {
+      return;
+    }
+    List<MachineEntry> over = new ArrayList<>();
+    boolean silent = false;
+    for (MachineEntry m : fleet.machines()) {
+      if (!m.placed.isEmpty()) {
+        if (lapsed(m)) {
+          over.add(m);
+        }
+        silent |= m.report != null && silentForMs(m) > context.leaseMs() * DOUBT_SHARE;
+      }
+    }
+    if (!mayBeDeputed()) {
+      over.forEach(this::settle);
+    } else if (silent || !over.isEmpty()) {
+      readingDeputed = true;
+      readDeputedNotBeforeMs = context.nowMs + context.paceMs() / 2;
+      readDeputed.accept(names -> deputed(over, names));
+    }
+  }
+
+  /** Only nodes of another zone than the leader's stand in for it. */
+  private boolean mayBeDeputed() {
+    return context.settings.peerZones().values().stream()
+        .anyMatch(zone -> !zone.equals(context.settings.zone()));
+  }
+
+  /** What was read after the leases in {@code over} had lapsed as far as this node knows. */
+  private void deputed(List<MachineEntry> over, Set<String> names) {
+    readingDeputed = false;
+    if (names == null) {
+      return;
+    }
+    for (String name : names) {
+      MachineEntry m = fleet.get(name);
+      if (m != null) {
+        m.deputedMs = context.nowMs;
+      }
+    }
+    for (MachineEntry m : over) {
+      if (fleet.get(m.name) == m && !names.contains(m.name) && lapsed(m)) {
+        settle(m);
+      }
+    }
+  }
+
+  private void settle(MachineEntry m) {
+    LOG.info("machine {}: its lease has lapsed", m.name);
+    fleet.settleAll(m);
+    kick.run();
+  }
+
   /**
    * The worker has surely killed and forgotten everything that was started before. Where it does
    * not show this term's warrant yet, an older leader may have renewed its lease for as long as
@@ -401,7 +478,7 @@
       return false;
     }
     if (!shown(m)) {
-      long overMs = olderTermsOverMs.getAsLong();
+      long overMs = peers.olderTermsOverMs();
       if (overMs == Long.MAX_VALUE) {
         return false;
       }
--- a/src/test/java/eiderfork/core/AnswerTest.java
+++ b/src/test/java/eiderfork/core/AnswerTest.java
@@ -112,16 +112,21 @@
   @ValueSource(
       ints = {0, 50, 100, 150, 200, 250, 300, 350, 400, 450, 500, 600, 700, 800, 900, 1000, 1200})
   void aCancellationAtTheEndOfTheLastTaskIsAnsweredOnceAndForAll(int afterMs) {
-    for (String at : List.of("roost-0", "roost-1", "roost-2")) {
+    for (int i = 0; i < 9; i++) {
+      String at = "roost-" + i % 3;
       World world = new World(7);
       world.closeLooks = true;
+      // The slower the state service, the wider the moment between the read and the write.
+      world.stateDelayMs = 80 * (i / 3);
       world.submit(World.job(1, JobKind.SERVICE, 1, 1));
       world.run(20);
       Job job = World.job(2, JobKind.ARRAY, 1, 1);
       world.submit(job);
       // It fetches for 0.7 s and runs for 4 s.
       world.at(4600 + afterMs, () -> world.abortAt(at, job.uid()));
-      world.at(4600 + afterMs, () -> world.lookClosely(job.uid()));
+      for (int ms = 4400; ms < 9000; ms += 20) {
+        world.at(ms, () -> world.queryAll(job.uid()));
+      }
       world.run(20);
       rulesHold(world);
       world.query(job.uid());
--- a/src/test/java/eiderfork/core/ControllerTest.java
+++ b/src/test/java/eiderfork/core/ControllerTest.java
@@ -60,7 +60,15 @@
     Fleet fleet = new Fleet(context, jobs);
     Cancellations cancellations = new Cancellations(context, uid -> {});
     Workers workers =
-        new Workers(context, term, jobs, fleet, cancellations, () -> Long.MAX_VALUE, () -> {});
+        new Workers(
+            context,
+            term,
+            jobs,
+            fleet,
+            cancellations,
+            new Peers(context, term, cancellations),
+            then -> {},
+            () -> {});
     for (int i = 0; i < 100; i++) {
       fleet.known(new Machine("n-" + i, "n-" + i + ":1", "g4", "a", false));
     }
--- /dev/null
+++ b/src/test/java/eiderfork/core/DeputyTest.java
@@ -0,0 +1,190 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.JobStatus.Stance;
+import eiderfork.model.Priority;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Two zones can't reach each other while both reach the state service: nodes of the other zone
+ * answer workers in the leader's place ({@link Deputy}).
+ */
+class DeputyTest {
+  private static LongStream seeds() {
+    return LongStream.rangeClosed(1, 12);
+  }
+
+  private static World world(long seed) {
+    return new World(seed, World.settings("roost-0"), 7);
+  }
+
+  /** Services spread over both zones, which all run. */
+  private static List<Job> spread(World world, int count) {
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 1; i <= count; i++) {
+      jobs.add(World.job(i, JobKind.SERVICE, 4, 1, "blue", Priority.HIGH, true, false));
+    }
+    jobs.forEach(world::submit);
+    world.run(35);
+    while (world.leader().equals("roost-6")) {
+      // A worker tries the nodes in their order, 5 s each. Behind the last one comes the first, in
+      // the same zone, and no node of the other zone is asked before the lease has lapsed.
+      world.crash(world.leader(), 1000);
+      world.run(15);
+    }
+    jobs.forEach(job -> assertEquals(4, world.checker.running(job.uid()), job::uid));
+    return jobs;
+  }
+
+  private static String otherZone(World world) {
+    return (world.leader().charAt(6) - '0') % 2 == 0 ? "b" : "a";
+  }
+
+  private static FakeWorker busyIn(World world, String zone) {
+    return world.workers().stream()
+        .filter(w -> w.machine.zone().equals(zone) && !w.present().isEmpty())
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Half of the fleet once lost all its tasks a lease after the zones lost each other. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void tasksOfTheOtherZoneOutliveASplit(long seed) {
+    World world = world(seed);
+    List<Job> jobs = spread(world, 4);
+    int starts = world.checker.starts;
+    world.splitZones(30_000);
+    world.run(30);
+    jobs.forEach(job -> assertEquals(4, world.checker.running(job.uid()), job::uid));
+    world.run(10);
+    assertEquals(starts, world.checker.starts, "nothing was lost and started again");
+    Outcome.allServed(world, jobs);
+    assertTrue(world.state.keys(Keys.DEPUTY).isEmpty(), "the records are gone");
+  }
+
+  /** The leader stops nothing in the other zone; the node that answers a worker does. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1000, 3000, 5000, 6000, 7000, 9000, 15_000, 25_000})
+  void aCancellationDuringASplitIsCarriedOutByTheDeputy(int afterMs) {
+    World world = world(3);
+    List<Job> jobs = spread(world, 4);
+    world.splitZones(80_000);
+    world.at(afterMs, () -> world.abort(jobs.get(0).uid()));
+    world.run(afterMs / 1000.0 + 25);
+    assertEquals(Stance.ABORTED, world.checker.finalStance(jobs.get(0).uid()));
+    assertEquals(0, world.checker.running(jobs.get(0).uid()));
+    world.run(60);
+    Outcome.allServed(world, jobs);
+  }
+
+  /** A machine that dies meanwhile is replaced once its deputy's records are gone. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 2000, 8000, 20_000, 29_000})
+  void aMachineThatDiesDuringASplitIsReplaced(int afterMs) {
+    World world = world(4);
+    List<Job> jobs = spread(world, 4);
+    FakeWorker worker = busyIn(world, otherZone(world));
+    world.splitZones(30_000);
+    world.at(afterMs, () -> world.die(worker.machine.name()));
+    world.run(80);
+    Outcome.allServed(world, jobs);
+  }
+
+  /** Deputies end, the leader ends, all end, and the state service is out, during a split. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void rulesHoldWhateverEndsDuringASplit(long seed) {
+    World world = world(seed);
+    List<Job> jobs = spread(world, 4);
+    world.loss = 0.01;
+    world.late = 0.02;
+    world.doubled = 0.02;
+    world.lateWrites = seed % 3 == 0 ? 0.2 : 0;
+    world.lateReports = seed % 4 == 0 ? 0.2 : 0;
+    java.util.Random script = new java.util.Random(seed);
+    world.splitZones(20_000 + script.nextInt(40_000));
+    for (int i = 0; i < 6; i++) {
+      String node = "roost-" + script.nextInt(7);
+      world.at(script.nextInt(50_000), () -> world.crash(node, 300 + 1000 * (seed % 5)));
+    }
+    world.at(
+        4000 + script.nextInt(30_000),
+        () -> {
+          if (world.leader() != null) {
+            world.crash(world.leader(), 3000);
+          }
+        });
+    if (seed % 2 == 0) {
+      long outMs = script.nextInt(40_000);
+      world.at(outMs, () -> world.state.outage(world.nowMs));
+      world.at(outMs + 5000 + script.nextInt(30_000), () -> world.state.recover(world.nowMs));
+    }
+    for (int i = 5; i <= 12; i++) {
+      Job job = World.job(i, i % 2 == 0 ? JobKind.SERVICE : JobKind.ARRAY, 3, 1);
+      jobs.add(job);
+      world.at(script.nextInt(60_000), () -> world.submit(job));
+    }
+    world.at(script.nextInt(60_000), () -> world.abort(jobs.get(0).uid()));
+    world.at(script.nextInt(60_000), () -> world.abort(jobs.get(1).uid()));
+    for (int i = 0; i < 3; i++) {
+      world.at(
+          script.nextInt(60_000),
+          () -> {
+            List<FakeWorker> workers = world.workers();
+            FakeWorker worker = workers.get(script.nextInt(workers.size()));
+            worker.hanging = true;
+            world.at(2000 + script.nextInt(20_000), () -> worker.hanging = false);
+          });
+    }
+    world.run(100);
+    Outcome.allServed(world, jobs);
+  }
+
+  /** A split that comes and goes: leases renewed by either side are never counted as lapsed. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void rulesHoldWhereASplitComesAndGoes(long seed) {
+    World world = world(seed);
+    List<Job> jobs = spread(world, 4);
+    java.util.Random script = new java.util.Random(seed);
+    long atMs = 0;
+    for (int i = 0; i < 8; i++) {
+      long forMs = 2000 + script.nextInt(14_000);
+      world.at(atMs, () -> world.splitZones(forMs));
+      atMs += forMs + script.nextInt(6000);
+    }
+    world.at(script.nextInt(60_000), () -> world.abort(jobs.get(0).uid()));
+    world.run(110);
+    Outcome.allServed(world, jobs);
+  }
+
+  /** Where connections between controllers are refused, workers still go to the leader. */
+  @Test
+  void noNodeStandsInForALeaderThatWorkersReach() {
+    World world = world(5);
+    List<Job> jobs = spread(world, 3);
+    for (String from : world.all()) {
+      for (String to : world.all()) {
+        world.cut(from + ">" + to, 40_000);
+      }
+    }
+    world.run(20);
+    Job next = World.job(9, JobKind.SERVICE, 8, 2, "blue", Priority.HIGH, true, false);
+    jobs.add(next);
+    world.submit(next);
+    world.run(15);
+    assertEquals(8, world.checker.running(next.uid()), "new machines found the leader");
+    Outcome.allServed(world, jobs);
+  }
+}
--- a/src/test/java/eiderfork/core/FakeState.java
+++ b/src/test/java/eiderfork/core/FakeState.java
@@ -44,6 +44,11 @@
     return entry == null ? null : entry.record;
   }
 
+  /** The keys under a prefix. */
+  List<String> keys(String prefix) {
+    return entries.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
+  }
+
   /** Puts a value there that no version can read. */
   void spoil(String key) {
     entries.put(key, new Entry(new Record.Unreadable("spoiled"), ++ledger, 0));
--- a/src/test/java/eiderfork/core/Outcome.java
+++ b/src/test/java/eiderfork/core/Outcome.java
@@ -31,7 +31,10 @@
     jobs.forEach(job -> world.queryAll(job.uid()));
     world.run(5);
     rulesHold(world);
-    assertEquals(answersBefore + 3 * jobs.size(), world.checker.answers, "questions answered");
+    assertEquals(
+        answersBefore + world.all().size() * jobs.size(),
+        world.checker.answers,
+        "questions answered");
     assertEquals(startsBefore, world.checker.startsAfterCancellation);
     for (Job job : jobs) {
       assertTrue(world.checker.wasAccepted(job.uid()), job::uid);
--- a/src/test/java/eiderfork/core/QuotaTest.java
+++ b/src/test/java/eiderfork/core/QuotaTest.java
@@ -113,6 +113,63 @@
     assertEquals(5, world.checker.runningTasks());
   }
 
+  /**
+   * A team's tasks end at its limit while the writes of their ends lag and leaders end: a settled
+   * reservation counts until its settlement is committed, since a new leader starts it again.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void endsThatAreNotCommittedYetCountForTheLimit(long seed) {
+    World world = new World(seed);
+    world.run(3);
+    world.lateWrites = 0.4;
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 1; i <= 16; i++) {
+      Job job = red(i, JobKind.ARRAY, 5, 1);
+      jobs.add(job);
+      world.at(i * 100L, () -> world.submit(job));
+    }
+    for (int i = 0; i < 6; i++) {
+      world.at(
+          9000 + i * 6000L + 311 * seed,
+          () -> {
+            if (world.leader() != null) {
+              world.crash(world.leader(), 500);
+            }
+          });
+    }
+    world.run(60);
+    Outcome.allServed(world, jobs);
+  }
+
+  /**
+   * A start is under way to a machine whose reports still lack it when the job is cancelled. It
+   * counts until a report shows a token above the start's, for the command may be executed yet.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {100, 200, 300, 400, 500, 600, 700, 800, 900, 1000, 1100, 1200, 1300, 1400})
+  void aStartThatIsUnderWayCountsUntilItCannotBeExecuted(int abortAfterMs) {
+    for (int lateMs : new int[] {700, 1100, 1500, 1900}) {
+      World world = new World(11);
+      List<Job> jobs = new ArrayList<>();
+      for (int i = 1; i <= 4; i++) {
+        jobs.add(red(i, JobKind.SERVICE, 1, 2));
+      }
+      jobs.forEach(world::submit);
+      world.run(25);
+      world.commandsLateMs = lateMs;
+      Job last = red(5, JobKind.SERVICE, 1, 2);
+      Job waiting = red(6, JobKind.SERVICE, 1, 2);
+      jobs.add(last);
+      jobs.add(waiting);
+      world.submit(last);
+      world.at(40, () -> world.submit(waiting));
+      world.at(abortAfterMs, () -> world.abort(last.uid()));
+      world.run(15);
+      Outcome.allServed(world, jobs);
+    }
+  }
+
   /** One-task jobs come four a second for minutes, a quarter of them cancelled. */
   @ParameterizedTest
   @ValueSource(longs = {1, 2})
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -62,6 +62,7 @@
   static final Settings.Workers SLOW = new Settings.Workers(4, 22, 42);
 
   final Settings settings;
+  private final int count;
   final FakeState state = new FakeState();
   final Checker checker;
   final Map<String, Controller> nodes = new TreeMap<>();
@@ -101,6 +102,9 @@
   /** How long a rented machine boots; 0 for 2 to 8 s. */
   long bootMs;
 
+  /** How much longer direct commands are under way. */
+  long commandsLateMs;
+
   private long holdReportsUntilMs;
   private long reportsHeldMs;
 
@@ -134,22 +138,37 @@
   }
 
   World(long seed, Settings settings) {
+    this(seed, settings, 3);
+  }
+
+  /** The names of all nodes, running or not. */
+  List<String> all() {
+    return java.util.stream.IntStream.range(0, count).mapToObj(i -> "roost-" + i).toList();
+  }
+
+  /** Three nodes stand in one zone; more are spread over the two by turns. */
+  private static String zone(int node, int count) {
+    return count > 3 && node % 2 == 1 ? "b" : "a";
+  }
+
+  World(long seed, Settings settings, int count) {
     this.settings = settings;
+    this.count = count;
     random = new Random(seed);
     checker = new Checker(settings.teams(), (long) (settings.workers().cancelS() * 1000));
-    for (int i = 0; i < 3; i++) {
-      boot("roost-" + i);
+    for (String node : all()) {
+      boot(node);
     }
     every(TICK_MS, this::tickWorld);
   }
 
   /** Settings with the figures of a fleet of many machines. */
   static Settings slow() {
-    return settings("roost-0", SLOW, new Settings.StateLimits(200, 40, 4), 0.2, 160);
+    return settings("roost-0", SLOW, new Settings.StateLimits(200, 40, 4), 0.2, 160, 3);
   }
 
   static Settings settings(String node) {
-    return settings(node, QUICK, new Settings.StateLimits(200, 40, 8), 0.2, 160);
+    return settings(node, QUICK, new Settings.StateLimits(200, 40, 8), 0.2, 160, 3);
   }
 
   static Settings settings(
@@ -157,19 +176,23 @@
       Settings.Workers workers,
       Settings.StateLimits stateLimits,
       double cpuShare,
-      int sockets) {
+      int sockets,
+      int count) {
     ImmutableMap.Builder<String, Settings.Endpoint> peers = ImmutableMap.builder();
-    for (int i = 0; i < 3; i++) {
+    ImmutableMap.Builder<String, String> peerZones = ImmutableMap.builder();
+    for (int i = 0; i < count; i++) {
       if (!node.equals("roost-" + i)) {
         peers.put("roost-" + i, new Settings.Endpoint("10.0.0." + (i + 1), 8081));
+        peerZones.put("roost-" + i, zone(i, count));
       }
     }
     return new Settings(
         node,
-        "a",
+        zone(node.charAt(node.length() - 1) - '0', count),
         new Settings.Endpoint("10.0.0.1", 8080),
         new Settings.Endpoint("10.0.0.1", 8081),
         peers.build(),
+        peerZones.build(),
         new Settings.Endpoint("10.2.0.2", 8443),
         new Settings.Endpoint("10.2.0.1", 2379),
         ImmutableMap.of("red", new Team("red", 0, 0, 4, 10), "blue", new Team("blue", 0, 0, 0, 0)),
@@ -304,7 +327,8 @@
             settings.workers(),
             settings.stateLimits(),
             settings.controller().cpuShare(),
-            settings.controller().sockets());
+            settings.controller().sockets(),
+            count);
     nodes.put(node, new Controller(own, new Random(random.nextLong()), nowMs));
   }
 
@@ -418,12 +442,13 @@
           node,
           it,
           it.addr(),
+          commandsLateMs,
           w -> {
             boolean executed = w.direct(it.warrant(), it.session(), it.commands());
             return new Reply.WorkerSays(executed, w.report());
           });
     } else if (effect instanceof Effect.AskInspect it) {
-      worker(node, it, it.addr(), w -> new Reply.WorkerSays(true, w.report()));
+      worker(node, it, it.addr(), 0, w -> new Reply.WorkerSays(true, w.report()));
     } else if (effect instanceof Effect.AskPeerPing it) {
       call(
           node,
@@ -510,7 +535,7 @@
   /** A controller loses the state service and its peers, not its workers or users. */
   void isolate(String node, long forMs) {
     cut(node + ">state", forMs);
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < count; i++) {
       cut(node + ">roost-" + i, forMs);
       cut("roost-" + i + ">" + node, forMs);
     }
@@ -518,7 +543,7 @@
 
   /** A zone's machines and one controller are cut off from the other controllers and the cloud. */
   void cutZone(String zone, String inside, long forMs) {
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < count; i++) {
       String node = "roost-" + i;
       if (node.equals(inside)) {
         continue;
@@ -536,6 +561,23 @@
     cut("state>" + inside, forMs);
   }
 
+  /** Two zones can't reach each other; both reach the state service, the cloud and the users. */
+  void splitZones(long forMs) {
+    for (int i = 0; i < count; i++) {
+      for (int j = 0; j < count; j++) {
+        if (!zone(i, count).equals(zone(j, count))) {
+          cut("roost-" + i + ">roost-" + j, forMs);
+        }
+      }
+      for (FakeWorker worker : workers()) {
+        if (!worker.machine.zone().equals(zone(i, count))) {
+          cut("roost-" + i + ">" + worker.machine.name(), forMs);
+          cut(worker.machine.name() + ">roost-" + i, forMs);
+        }
+      }
+    }
+  }
+
   /** Reports of the next second are held up for this long. */
   void holdNextReports(long forMs) {
     holdReportsUntilMs = nowMs + 1000;
@@ -551,6 +593,8 @@
     lostAnswers = 0;
     lateReports = 0;
     reportsForNext = 0;
+    commandsLateMs = 0;
+    stateDelayMs = 0;
     cuts.clear();
     refused.clear();
     stillUntilMs.clear();
@@ -562,14 +606,14 @@
 
   /** The machine hears nobody while its reports arrive. */
   void deafen(String machine, long forMs) {
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < count; i++) {
       cut("roost-" + i + ">" + machine, forMs);
     }
   }
 
   /** The machine reaches no controller while commands reach it. */
   void mute(String machine, long forMs) {
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < count; i++) {
       cut(machine + ">roost-" + i, forMs);
     }
   }
@@ -696,10 +740,11 @@
       String node,
       Effect.Call call,
       String addr,
+      long lateMs,
       java.util.function.Function<FakeWorker, Reply> answer) {
     String name = addr.substring(0, addr.indexOf(':'));
     String to = isCut(node, "*") ? "*" : name;
-    call(node, call, to, then -> deliver(name, answer, then));
+    call(node, call, to, then -> at(lateMs, () -> deliver(name, answer, then)));
   }
 
   private void deliver(
@@ -740,7 +785,7 @@
           if (!over[0]) {
             over[0] = true;
             w.waiting = false;
-            w.node = (w.node + 1) % 3;
+            w.node = (w.node + 1) % count;
             w.nextReportMs = nowMs + 1000;
           }
         });
@@ -793,7 +838,7 @@
         w.node = it.leader().charAt(it.leader().length() - 1) - '0';
         w.nextReportMs = nowMs + random.nextLong(500);
       } else {
-        w.node = (w.node + 1) % 3;
+        w.node = (w.node + 1) % count;
         w.nextReportMs = nowMs + 1000;
       }
     }
@@ -826,7 +871,7 @@
 
   /** Asks all nodes at once. */
   void queryAll(String uid) {
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < count; i++) {
       String node = "roost-" + i;
       user(node, ticket -> new Input.Query(ticket, uid), uid, false, Integer.MAX_VALUE);
     }
@@ -835,7 +880,7 @@
   /** Asks all nodes at once, and submits the job once more at each. */
   void lookClosely(String uid) {
     queryAll(uid);
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < count; i++) {
       String node = "roost-" + i;
       Job job = jobs.get(uid);
       user(
@@ -848,7 +893,7 @@
 
   private void user(
       java.util.function.LongFunction<Input> request, String uid, boolean submission, int tries) {
-    user("roost-" + random.nextInt(3), request, uid, submission, tries);
+    user("roost-" + random.nextInt(count), request, uid, submission, tries);
   }
 
   private void user(
