Standard names in the core: token, version, request name

Fencing tokens, key versions and the names of rent requests are called so; the protocol's own words stay in eiderfork.wire, the stored fields as they were. No behaviour changes.

--- a/src/main/java/eiderfork/core/Cloud.java
+++ b/src/main/java/eiderfork/core/Cloud.java
@@ -129,7 +129,7 @@
   void restoreRent(Record.Rent record) {
     Rent rent = new Rent(record, backoff());
     rent.committed = true;
-    rents.put(record.charter(), rent);
+    rents.put(record.requestName(), rent);
   }
 
   void restoreReturn(String key, Record.Return record) {
@@ -166,17 +166,17 @@
   }
 
   void rent(Kind kind, int count) {
-    String charter = "t" + term.number() + "-" + ++names;
-    Record.Rent record = new Record.Rent(charter, kind.type(), kind.zone(), kind.spot(), count);
+    String requestName = "t" + term.number() + "-" + ++names;
+    Record.Rent record = new Record.Rent(requestName, kind.type(), kind.zone(), kind.spot(), count);
     LOG.info("renting {} of {}", count, kind);
     Rent rent = new Rent(record, backoff());
-    rents.put(charter, rent);
+    rents.put(requestName, rent);
     reserve(
-        Keys.RENT + charter,
+        Keys.RENT + requestName,
         record,
-        () -> rents.get(charter) == rent,
+        () -> rents.get(requestName) == rent,
         () -> rent.committed = true,
-        () -> rents.remove(charter));
+        () -> rents.remove(requestName));
   }
 
   /** Gives a machine back because nothing is heard of it; it is kept if that ends in time. */
@@ -356,7 +356,7 @@
         call -> new Effect.AskRent(call, record, timeoutMs()),
         reply -> {
           rent.asking = false;
-          if (rents.get(record.charter()) != rent) {
+          if (rents.get(record.requestName()) != rent) {
             return;
           }
           if (reply instanceof Reply.Rented rented) {
@@ -385,13 +385,13 @@
           } else if (reply instanceof Reply.NoCapacity) {
             // No capacity, and nothing was rented: the reservation is over.
             shortOf(kind);
-            rents.remove(record.charter());
-            drop(Keys.RENT + record.charter());
+            rents.remove(record.requestName());
+            drop(Keys.RENT + record.requestName());
           } else if (reply instanceof Reply.Refused refused && refused.status() == 400) {
             LOG.error("the cloud calls the rent {} malformed", record);
             shortOf(kind);
-            rents.remove(record.charter());
-            drop(Keys.RENT + record.charter());
+            rents.remove(record.requestName());
+            drop(Keys.RENT + record.requestName());
           } else {
             rent.nextMs = context.nowMs + rent.backoff.next(context.random);
           }
@@ -417,8 +417,8 @@
         found &= m == null || m.listed;
       }
       if (found) {
-        rents.remove(rent.record.charter());
-        drop(Keys.RENT + rent.record.charter());
+        rents.remove(rent.record.requestName());
+        drop(Keys.RENT + rent.record.requestName());
       }
     }
   }
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -425,11 +425,11 @@
     if (record instanceof Record.Unreadable it) {
       unreadable(item.key(), it);
     } else if (record instanceof Record.JobSpec spec) {
-      add(spec.job(), item.stamp());
+      add(spec.job(), item.version());
     } else if (record instanceof Record.Alloc alloc) {
       JobEntry entry = jobs.get(Keys.tail(item.key()));
       if (entry != null) {
-        jobs.restore(entry, alloc, item.stamp(), fleet);
+        jobs.restore(entry, alloc, item.version(), fleet);
       }
     } else if (record instanceof Record.Aborted aborted) {
       cancellations.read(aborted.uid());
@@ -487,7 +487,7 @@
       unreadable(item.key(), it);
     } else if (item.record() instanceof Record.JobSpec spec) {
       if (jobs.get(spec.job().uid()) == null) {
-        add(spec.job(), item.stamp());
+        add(spec.job(), item.version());
         planner.arrived(spec.job());
         kick();
       }
--- a/src/main/java/eiderfork/core/Deputy.java
+++ b/src/main/java/eiderfork/core/Deputy.java
@@ -141,7 +141,7 @@
         stops.add(new Command.Kill(task.attempt(), 0));
       }
     }
-    context.emit(new Effect.AnswerWorker(ticket, report.warrant(), stops.build()));
+    context.emit(new Effect.AnswerWorker(ticket, report.token(), stops.build()));
   }
 
   /** A worker was sent to the leader. */
--- a/src/main/java/eiderfork/core/Effect.java
+++ b/src/main/java/eiderfork/core/Effect.java
@@ -26,7 +26,7 @@
   record AskCommands(
       long call,
       String addr,
-      long warrant,
+      long token,
       long session,
       ImmutableList<Command> commands,
       long timeoutMs)
@@ -48,8 +48,7 @@
 
   record AnswerHealth(long ticket, boolean healthy, String why) implements Effect {}
 
-  record AnswerWorker(long ticket, long warrant, ImmutableList<Command> commands)
-      implements Effect {}
+  record AnswerWorker(long ticket, long token, ImmutableList<Command> commands) implements Effect {}
 
   /** 421: report elsewhere; {@code leader} is null where it is not known. */
   record RedirectWorker(long ticket, String leader) implements Effect {}
--- a/src/main/java/eiderfork/core/JobBook.java
+++ b/src/main/java/eiderfork/core/JobBook.java
@@ -92,9 +92,9 @@
   }
 
   /** Takes the reservations of a rebuilt job. */
-  void restore(JobEntry entry, Record.Alloc alloc, long stamp, Fleet fleet) {
+  void restore(JobEntry entry, Record.Alloc alloc, long version, Fleet fleet) {
     entry.committed = alloc;
-    entry.allocStamp = stamp;
+    entry.allocVersion = version;
     entry.lastAttempt = alloc.lastAttempt();
     for (Record.Range range : alloc.finished()) {
       entry.finished.set(range.from(), range.to() + 1);
@@ -128,7 +128,7 @@
    */
   void noteImages(Fleet fleet) {
     List<JobEntry> byAge = new ArrayList<>(jobs.values());
-    byAge.sort(Comparator.comparingLong(entry -> entry.allocStamp));
+    byAge.sort(Comparator.comparingLong(entry -> entry.allocVersion));
     for (JobEntry entry : byAge) {
       for (Record.Span span : entry.committed.reserved()) {
         MachineEntry m = fleet.get(span.machine());
@@ -258,7 +258,7 @@
         new StateOp.Transact(
             ImmutableList.of(
                 term.condition(),
-                new StateOp.Condition(Keys.alloc(uid), entry.allocStamp),
+                new StateOp.Condition(Keys.alloc(uid), entry.allocVersion),
                 new StateOp.Condition(Keys.abort(uid), 0)),
             ImmutableList.of(StateOp.Change.put(Keys.alloc(uid), record))),
         urgency,
@@ -305,14 +305,14 @@
   private void applied(
       JobEntry entry,
       Record.Alloc record,
-      long stamp,
+      long version,
       List<Placed> proposed,
       List<Placed> settled) {
     entry.writing = false;
     entry.ending = false;
     entry.writeBackoff.reset();
     entry.committed = record;
-    entry.allocStamp = stamp;
+    entry.allocVersion = version;
     for (Placed p : proposed) {
       p.committed = true;
       if (entry.placed.get(p.index) == p) {
@@ -353,7 +353,7 @@
             if (!(reply instanceof Reply.Value value)) {
               repeat(entry, () -> conflict(entry, conflict, record, proposed, settled, urgency));
             } else if (record.equals(value.record())) {
-              applied(entry, record, value.stamp(), proposed, settled);
+              applied(entry, record, value.version(), proposed, settled);
               if (conflict.failed().contains(Keys.abort(uid))) {
                 markAborted(uid);
               }
--- a/src/main/java/eiderfork/core/JobEntry.java
+++ b/src/main/java/eiderfork/core/JobEntry.java
@@ -25,10 +25,10 @@
   /** Since when this leader knows the job. */
   final long sinceMs;
 
-  /** What the state service holds, and the stamp it holds it under. */
+  /** What the state service holds, and the version it holds it under. */
   Record.Alloc committed = Record.Alloc.EMPTY;
 
-  long allocStamp;
+  long allocVersion;
   boolean aborted;
 
   /** A cancellation is on its way; nothing new starts. */
--- a/src/main/java/eiderfork/core/MachineEntry.java
+++ b/src/main/java/eiderfork/core/MachineEntry.java
@@ -30,11 +30,11 @@
   /** The newest report of this term, null before the first. */
   Report report;
 
-  /** The warrant that commands go out with now. */
-  long warrant;
+  /** The token that commands go out with now. */
+  long token;
 
-  /** The largest warrant that a start was sent with in direct commands; 0 for none. */
-  long directWarrant;
+  /** The largest token that a start was sent with in direct commands; 0 for none. */
+  long directToken;
 
   /** When the newest report came; 0 for never in this term. */
   long heardMs;
@@ -68,7 +68,7 @@
   int unanswered;
   long commandNotBeforeMs;
 
-  /** Since when reports fail to show the warrant that was sent; 0 where they show it. */
+  /** Since when reports fail to show the token that was sent; 0 where they show it. */
   long deafSinceMs;
 
   /** A return is decided: nothing starts here any more. */
--- a/src/main/java/eiderfork/core/Placed.java
+++ b/src/main/java/eiderfork/core/Placed.java
@@ -20,8 +20,8 @@
   /** The last state seen of it on the machine, null for none. */
   TaskReport.State seen;
 
-  /** The largest warrant and session that its start was sent with; 0 for never in this term. */
-  long sentWarrant;
+  /** The largest token and session that its start was sent with; 0 for never in this term. */
+  long sentToken;
 
   long sentSession;
 
--- a/src/main/java/eiderfork/core/Reply.java
+++ b/src/main/java/eiderfork/core/Reply.java
@@ -19,9 +19,9 @@
   record Conflict(ImmutableList<String> failed) implements Reply {}
 
   /** {@code record} is null where the key does not exist. */
-  record Value(Record record, long stamp) implements Reply {}
+  record Value(Record record, long version) implements Reply {}
 
-  record Item(String key, Record record, long stamp) {}
+  record Item(String key, Record record, long version) {}
 
   record Page(ImmutableList<Item> items, boolean more, long revision) implements Reply {}
 
--- a/src/main/java/eiderfork/core/StateOp.java
+++ b/src/main/java/eiderfork/core/StateOp.java
@@ -5,7 +5,7 @@
 
 /** A request to the state service. */
 public sealed interface StateOp {
-  record Condition(String key, long stamp) {}
+  record Condition(String key, long version) {}
 
   /** A change: {@code record} null removes the key; lease 0 is none. */
   record Change(String key, Record record, long lease) {
--- a/src/main/java/eiderfork/core/Term.java
+++ b/src/main/java/eiderfork/core/Term.java
@@ -50,7 +50,7 @@
   private Phase phase = Phase.FOLLOWING;
   private long lease;
   private long leaseSureUntilMs;
-  private long leaderStamp;
+  private long leaderVersion;
   private long term;
   private String leader;
   private boolean busy;
@@ -87,7 +87,7 @@
   }
 
   StateOp.Condition condition() {
-    return new StateOp.Condition(Keys.LEADER, leaderStamp);
+    return new StateOp.Condition(Keys.LEADER, leaderVersion);
   }
 
   void tick() {
@@ -195,7 +195,7 @@
           }
           backoff.reset();
           if (value.record() instanceof Record.Leadership it) {
-            follow(it, value.stamp());
+            follow(it, value.version());
           } else if (context.nowMs < standDownUntilMs) {
             later();
           } else {
@@ -205,14 +205,14 @@
   }
 
   /** Waits for the leader key to change. */
-  private void follow(Record.Leadership it, long stamp) {
+  private void follow(Record.Leadership it, long version) {
     if (!it.node().equals(leader) || it.term() != term) {
       LOG.info("following {} in term {}", it.node(), it.term());
     }
     leader = it.node();
     term = Math.max(term, it.term());
     gate.send(
-        new StateOp.Watch(Keys.LEADER, stamp, leaseMs),
+        new StateOp.Watch(Keys.LEADER, version, leaseMs),
         Urgency.LEASE,
         reply -> {
           busy = false;
@@ -236,33 +236,34 @@
         reply -> {
           if (reply instanceof Reply.Value value) {
             long last = value.record() instanceof Record.Term t ? t.term() : 0;
-            grant(last, value.stamp());
+            grant(last, value.version());
           } else {
             later();
           }
         });
   }
 
-  private void grant(long last, long termStamp) {
+  private void grant(long last, long termVersion) {
     gate.send(
         new StateOp.Grant(leaseMs),
         Urgency.LEASE,
         reply -> {
           if (reply instanceof Reply.Leased leased) {
-            take(leased.lease(), last + 1, termStamp);
+            take(leased.lease(), last + 1, termVersion);
           } else {
             later();
           }
         });
   }
 
-  private void take(long newLease, long newTerm, long termStamp) {
+  private void take(long newLease, long newTerm, long termVersion) {
     long sentMs = context.nowMs;
     String node = context.settings.node();
     gate.send(
         new StateOp.Transact(
             ImmutableList.of(
-                new StateOp.Condition(Keys.LEADER, 0), new StateOp.Condition(Keys.TERM, termStamp)),
+                new StateOp.Condition(Keys.LEADER, 0),
+                new StateOp.Condition(Keys.TERM, termVersion)),
             ImmutableList.of(
                 new StateOp.Change(Keys.LEADER, new Record.Leadership(node, newTerm), newLease),
                 StateOp.Change.put(Keys.TERM, new Record.Term(newTerm)))),
@@ -273,7 +274,7 @@
             phase = Phase.LEADING;
             lease = newLease;
             term = newTerm;
-            leaderStamp = committed.revision();
+            leaderVersion = committed.revision();
             // The lease may have run since before the taking transaction was sent; renew at once.
             leaseSureUntilMs = sentMs + sureMs() / 2;
             nextMs = context.nowMs;
--- a/src/main/java/eiderfork/core/Users.java
+++ b/src/main/java/eiderfork/core/Users.java
@@ -365,7 +365,7 @@
             storedAlloc(
                 it.job(),
                 urgency,
-                (alloc, stamp) ->
+                (alloc, version) ->
                     storedAbort(
                         uid,
                         urgency,
@@ -392,7 +392,7 @@
   }
 
   private interface AllocTaker {
-    void take(Record.Alloc alloc, long stamp);
+    void take(Record.Alloc alloc, long version);
   }
 
   private void storedAlloc(Job job, Urgency urgency, AllocTaker then) {
@@ -404,7 +404,7 @@
               || value.record() instanceof Record.Unreadable) {
             then.take(null, 0);
           } else if (value.record() instanceof Record.Alloc alloc) {
-            then.take(alloc, value.stamp());
+            then.take(alloc, value.version());
           } else {
             then.take(Record.Alloc.EMPTY, 0);
           }
@@ -459,7 +459,7 @@
     storedAlloc(
         job,
         Urgency.ABORT,
-        (alloc, stamp) -> {
+        (alloc, version) -> {
           if (alloc == null || tries >= ABORT_TRIES) {
             abortFailed(uid, answer);
             return;
@@ -472,7 +472,7 @@
               new StateOp.Transact(
                   ImmutableList.of(
                       new StateOp.Condition(Keys.abort(uid), 0),
-                      new StateOp.Condition(Keys.alloc(uid), stamp)),
+                      new StateOp.Condition(Keys.alloc(uid), version)),
                   ImmutableList.of(StateOp.Change.put(Keys.abort(uid), new Record.Aborted(uid)))),
               Urgency.ABORT,
               reply -> {
--- a/src/main/java/eiderfork/core/Workers.java
+++ b/src/main/java/eiderfork/core/Workers.java
@@ -23,7 +23,7 @@
 final class Workers {
   private static final Logger LOG = LoggerFactory.getLogger(Workers.class);
 
-  /** The term stands in the bits above these of a warrant, the per-worker sequence below. */
+  /** The term stands in the bits above these of a token, the per-worker sequence below. */
   static final int SEQUENCE_BITS = 24;
 
   /**
@@ -101,7 +101,7 @@
 
   /** Whether the worker takes this term's commands, so that no older leader can reach it. */
   boolean shown(MachineEntry m) {
-    return m.report != null && m.report.warrant() >= base();
+    return m.report != null && m.report.token() >= base();
   }
 
   boolean heard(MachineEntry m) {
@@ -134,9 +134,9 @@
   /** A worker reports to this node, which leads. */
   void report(long ticket, Report report) {
     String name = report.machine().name();
-    if (report.warrant() >= base() + (1L << SEQUENCE_BITS)) {
+    if (report.token() >= base() + (1L << SEQUENCE_BITS)) {
       // Another leader rules this worker, so this one's term is over.
-      term.outdated(report.warrant() >> SEQUENCE_BITS);
+      term.outdated(report.token() >> SEQUENCE_BITS);
       context.emit(new Effect.RedirectWorker(ticket, null));
       return;
     }
@@ -146,8 +146,8 @@
     }
     MachineEntry m = fleet.known(report.machine());
     boolean news = absorb(m, report);
-    if (m.warrant == 0) {
-      m.warrant = base() + 1;
+    if (m.token == 0) {
+      m.token = base() + 1;
     }
     m.answeredMs = context.nowMs;
     // While direct commands are under way, the two ways could overtake each other.
@@ -155,7 +155,7 @@
     if (news && !m.commanding) {
       commands = mayCommand() ? commands(m) : stops(m);
     }
-    context.emit(new Effect.AnswerWorker(ticket, m.warrant, commands));
+    context.emit(new Effect.AnswerWorker(ticket, m.token, commands));
   }
 
   /** Whether memory and lease allow any command; stopping what is cancelled asks for neither. */
@@ -198,13 +198,13 @@
     m.heardMs = context.nowMs;
     m.aliveMs = context.nowMs;
     m.booting = false;
-    if (report.warrant() >= m.warrant) {
+    if (report.token() >= m.token) {
       m.deafSinceMs = 0;
       m.unanswered = 0;
     } else if (m.deafSinceMs == 0) {
       m.deafSinceMs = context.nowMs;
     }
-    if (shown(m) && (before == null || before.warrant() < base())) {
+    if (shown(m) && (before == null || before.token() < base())) {
       // From here on only this term's answers renew the lease.
       m.answeredMs = Math.max(m.answeredMs, context.nowMs);
     }
@@ -252,9 +252,9 @@
     }
     boolean surely =
         m.report.session() > p.sentSession && p.sentSession > 0
-            || m.report.warrant() > Math.max(p.sentWarrant, base() - 1);
+            || m.report.token() > Math.max(p.sentToken, base() - 1);
     if (!surely) {
-      if ((!p.wanted() || p.seen != null) && p.sentWarrant >= m.warrant) {
+      if ((!p.wanted() || p.seen != null) && p.sentToken >= m.token) {
         // Outdates the unanswered start, so that its absence can be believed.
         raise(m);
       }
@@ -301,9 +301,9 @@
     kick.run();
   }
 
-  /** Raises the warrant, so that no unanswered command is executed any more. */
+  /** Raises the token, so that no unanswered command is executed any more. */
   private void raise(MachineEntry m) {
-    m.warrant = Math.max(m.warrant, base()) + 1;
+    m.token = Math.max(m.token, base()) + 1;
     m.urgent = true;
   }
 
@@ -337,15 +337,15 @@
       }
     }
     boolean clears = list.build().stream().anyMatch(Command.Clear.class::isInstance);
-    if (clears && m.warrant <= m.directWarrant) {
+    if (clears && m.token <= m.directToken) {
       // A late copy of direct commands would start what is cleared anew.
-      m.warrant = m.directWarrant + 1;
+      m.token = m.directToken + 1;
     }
     if (usable(m)) {
       for (Placed p : m.placed) {
         if (p.mayStart() && !p.job.aborting) {
           list.add(new Command.Run(p.id()));
-          p.sentWarrant = m.warrant;
+          p.sentToken = m.token;
           p.sentSession = m.session();
           noteImage(m, p);
         }
@@ -382,7 +382,7 @@
         continue;
       }
       if (m.report == null || !shown(m)) {
-        // Reached directly, so that an older leader's warrant ends there soon.
+        // Reached directly, so that an older leader's token ends there soon.
         if (!m.booting && context.nowMs - electedMs > context.paceMs() && free > forCommands) {
           reach(m);
         }
@@ -468,8 +468,8 @@
 
   /**
    * The worker has surely killed and forgotten everything that was started before. Where it does
-   * not show this term's warrant yet, an older leader may have renewed its lease for as long as
-   * there was one: a leader that took over while a zone was cut off once left the zone's replicas
+   * not show this term's token yet, an older leader may have renewed its lease for as long as there
+   * was one: a leader that took over while a zone was cut off once left the zone's replicas
    * unplaced until the cut was over.
    */
   boolean lapsed(MachineEntry m) {
@@ -494,7 +494,7 @@
           call -> new Effect.AskInspect(call, m.addr(), context.paceMs() * 2),
           reply -> commanded(m, reply, 0));
     } else {
-      m.warrant = Math.max(m.warrant, base() + 1);
+      m.token = Math.max(m.token, base() + 1);
       send(m, ImmutableList.of());
     }
   }
@@ -508,7 +508,7 @@
   }
 
   private void command(MachineEntry m) {
-    boolean raiseOnly = m.warrant > m.report.warrant();
+    boolean raiseOnly = m.token > m.report.token();
     ImmutableList<Command> commands = commands(m);
     List<Command> prompt = new ArrayList<>();
     for (Command command : commands) {
@@ -521,43 +521,42 @@
     }
     m.commanding = true;
     if (prompt.stream().anyMatch(Command.Run.class::isInstance)) {
-      m.directWarrant = m.warrant;
+      m.directToken = m.token;
     }
     send(m, ImmutableList.copyOf(prompt));
   }
 
   private void send(MachineEntry m, ImmutableList<Command> commands) {
-    long warrant = m.warrant;
+    long token = m.token;
     long session = m.session();
     context.ask(
         call ->
-            new Effect.AskCommands(
-                call, m.addr(), warrant, session, commands, context.paceMs() * 2),
-        reply -> commanded(m, reply, warrant));
+            new Effect.AskCommands(call, m.addr(), token, session, commands, context.paceMs() * 2),
+        reply -> commanded(m, reply, token));
   }
 
-  private void commanded(MachineEntry m, Reply reply, long warrant) {
+  private void commanded(MachineEntry m, Reply reply, long token) {
     m.commanding = false;
     if (fleet.get(m.name) != m || !term.leading()) {
       return;
     }
     if (reply instanceof Reply.WorkerSays says) {
       m.unanswered = 0;
-      if (says.report().warrant() >= base() + (1L << SEQUENCE_BITS)) {
-        term.outdated(says.report().warrant() >> SEQUENCE_BITS);
+      if (says.report().token() >= base() + (1L << SEQUENCE_BITS)) {
+        term.outdated(says.report().token() >> SEQUENCE_BITS);
         return;
       }
       absorb(m, says.report());
-      if (m.warrant == 0) {
-        m.warrant = base() + 1;
+      if (m.token == 0) {
+        m.token = base() + 1;
       }
       if (!says.executed()) {
         m.urgent = true;
       }
     } else {
-      // Unanswered commands may be executed yet; a higher warrant ends that.
+      // Unanswered commands may be executed yet; a higher token ends that.
       m.unanswered++;
-      if (warrant > 0) {
+      if (token > 0) {
         raise(m);
         m.urgent = false;
       }
--- a/src/main/java/eiderfork/model/Record.java
+++ b/src/main/java/eiderfork/model/Record.java
@@ -35,8 +35,8 @@
     public static final Alloc EMPTY = new Alloc(0, false, ImmutableList.of(), ImmutableList.of());
   }
 
-  /** A rent reserved before the cloud is asked; the charter is the request's name. */
-  record Rent(String charter, String type, String zone, boolean spot, int count)
+  /** A rent reserved before the cloud is asked, under the name that the request carries. */
+  record Rent(String requestName, String type, String zone, boolean spot, int count)
       implements Record {}
 
   /** A return reserved before the cloud is asked. */
--- a/src/main/java/eiderfork/model/Report.java
+++ b/src/main/java/eiderfork/model/Report.java
@@ -7,7 +7,7 @@
     Machine machine,
     long session,
     long seq,
-    long warrant,
+    long token,
     Double noticeS,
     ImmutableList<TaskReport> tasks) {
 
--- a/src/main/java/eiderfork/net/Node.java
+++ b/src/main/java/eiderfork/net/Node.java
@@ -202,7 +202,7 @@
     } else if (effect instanceof Effect.AskHosts it) {
       ask(it, settings.cloud(), "GET", CloudWire.hostsPath(it.after()), null, CloudWire::hosts);
     } else if (effect instanceof Effect.AskCommands it) {
-      byte[] body = WorkerWire.commands(it.warrant(), it.session(), it.commands());
+      byte[] body = WorkerWire.commands(it.token(), it.session(), it.commands());
       ask(it, endpoint(it.addr()), "POST", WorkerWire.COMMANDS, body, Node::workerSays);
     } else if (effect instanceof Effect.AskInspect it) {
       ask(it, endpoint(it.addr()), "GET", WorkerWire.INSPECT, null, Node::workerSays);
@@ -242,7 +242,7 @@
       byte[] body = UserWire.health(it.healthy(), it.why());
       open.remove(it.ticket()).answer(it.healthy() ? 200 : 503, body, 0);
     } else if (effect instanceof Effect.AnswerWorker it) {
-      open.remove(it.ticket()).answer(200, WorkerWire.answer(it.warrant(), it.commands()), 0);
+      open.remove(it.ticket()).answer(200, WorkerWire.answer(it.token(), it.commands()), 0);
     } else if (effect instanceof Effect.RedirectWorker it) {
       open.remove(it.ticket()).answer(421, WorkerWire.redirect(it.leader()), 0);
     } else if (effect instanceof Effect.AnswerPing it) {
--- a/src/main/java/eiderfork/wire/CloudWire.java
+++ b/src/main/java/eiderfork/wire/CloudWire.java
@@ -29,7 +29,7 @@
 
   public static byte[] rent(Record.Rent rent) {
     ObjectNode node = Json.object();
-    node.put("Charter", rent.charter());
+    node.put("Charter", rent.requestName());
     node.put("Breed", rent.type());
     node.put("Shore", rent.zone());
     node.put("Driftwood", rent.spot());
--- a/src/main/java/eiderfork/wire/Records.java
+++ b/src/main/java/eiderfork/wire/Records.java
@@ -34,7 +34,7 @@
     } else if (record instanceof Record.Alloc it) {
       return node(it);
     } else if (record instanceof Record.Rent it) {
-      node.put("charter", it.charter());
+      node.put("charter", it.requestName());
       node.put("type", it.type());
       node.put("zone", it.zone());
       node.put("spot", it.spot());
--- a/src/main/java/eiderfork/wire/StateWire.java
+++ b/src/main/java/eiderfork/wire/StateWire.java
@@ -44,7 +44,7 @@
     ObjectNode node = Json.object();
     ArrayNode conditions = node.putArray("If");
     for (StateOp.Condition condition : it.conditions()) {
-      conditions.addObject().put("Path", condition.key()).put("Stamp", condition.stamp());
+      conditions.addObject().put("Path", condition.key()).put("Stamp", condition.version());
     }
     ArrayNode changes = node.putArray("Then");
     for (StateOp.Change change : it.changes()) {
@@ -98,12 +98,12 @@
     } else if (op instanceof StateOp.Watch) {
       ImmutableList.Builder<Reply.Item> items = ImmutableList.builder();
       for (JsonNode event : Json.array(node, "Log")) {
-        long stamp = Json.integer(event, "Stamp");
+        long version = Json.integer(event, "Stamp");
         if (event.hasNonNull("Drop")) {
-          items.add(new Reply.Item(Json.text(event, "Drop"), null, stamp));
+          items.add(new Reply.Item(Json.text(event, "Drop"), null, version));
         } else {
           String key = Json.text(event, "Write");
-          items.add(new Reply.Item(key, Records.record(key, event.path("V")), stamp));
+          items.add(new Reply.Item(key, Records.record(key, event.path("V")), version));
         }
       }
       return new Reply.Changes(items.build(), Json.integer(node, "Ledger"));
--- a/src/main/java/eiderfork/wire/WorkerWire.java
+++ b/src/main/java/eiderfork/wire/WorkerWire.java
@@ -57,16 +57,16 @@
     return new TaskReport(new Attempt(id, Json.integer(node, "Try")), state, cause, saved);
   }
 
-  public static byte[] answer(long warrant, List<Command> commands) {
+  public static byte[] answer(long token, List<Command> commands) {
     ObjectNode node = Json.object();
-    node.put("Warrant", warrant);
+    node.put("Warrant", token);
     put(node.putArray("Calls"), commands);
     return Json.bytes(node);
   }
 
-  public static byte[] commands(long warrant, long session, List<Command> commands) {
+  public static byte[] commands(long token, long session, List<Command> commands) {
     ObjectNode node = Json.object();
-    node.put("Warrant", warrant);
+    node.put("Warrant", token);
     node.put("Tenure", session);
     put(node.putArray("Calls"), commands);
     return Json.bytes(node);
--- a/src/test/java/eiderfork/core/FakeState.java
+++ b/src/test/java/eiderfork/core/FakeState.java
@@ -11,7 +11,7 @@
 
 /** The state service, written from the protocol. */
 final class FakeState {
-  private record Entry(Record record, long stamp, long lease) {}
+  private record Entry(Record record, long version, long lease) {}
 
   private record Watcher(String prefix, long after, long untilMs, Consumer<Reply> then) {}
 
@@ -100,7 +100,7 @@
   private Reply.Changes since(String prefix, long after) {
     ImmutableList.Builder<Reply.Item> items = ImmutableList.builder();
     log.stream()
-        .filter(item -> item.stamp() > after && item.key().startsWith(prefix))
+        .filter(item -> item.version() > after && item.key().startsWith(prefix))
         .forEach(items::add);
     return new Reply.Changes(items.build(), ledger);
   }
@@ -123,7 +123,7 @@
     if (op instanceof StateOp.Get it) {
       Entry entry = entries.get(it.key());
       then.accept(
-          entry == null ? new Reply.Value(null, 0) : new Reply.Value(entry.record, entry.stamp));
+          entry == null ? new Reply.Value(null, 0) : new Reply.Value(entry.record, entry.version));
     } else if (op instanceof StateOp.Scan it) {
       ImmutableList.Builder<Reply.Item> items = ImmutableList.builder();
       int n = 0;
@@ -138,7 +138,7 @@
             more = true;
             break;
           }
-          items.add(new Reply.Item(e.getKey(), e.getValue().record, e.getValue().stamp));
+          items.add(new Reply.Item(e.getKey(), e.getValue().record, e.getValue().version));
         }
       }
       then.accept(new Reply.Page(items.build(), more, ledger));
@@ -174,7 +174,7 @@
     ImmutableList.Builder<String> failed = ImmutableList.builder();
     for (StateOp.Condition condition : it.conditions()) {
       Entry entry = entries.get(condition.key());
-      if ((entry == null ? 0 : entry.stamp) != condition.stamp()) {
+      if ((entry == null ? 0 : entry.version) != condition.version()) {
         failed.add(condition.key());
       }
     }
--- a/src/test/java/eiderfork/core/FakeWorker.java
+++ b/src/test/java/eiderfork/core/FakeWorker.java
@@ -40,7 +40,7 @@
 
   private long session = 1;
   private long seq;
-  long warrant;
+  long token;
   private long answeredSentMs;
   long nextReportMs;
   long reportedMs;
@@ -60,7 +60,7 @@
   Report report() {
     ImmutableList.Builder<TaskReport> list = ImmutableList.builder();
     tasks.values().forEach(t -> list.add(new TaskReport(t.attempt, t.state, t.cause, false)));
-    return new Report(machine, session, ++seq, warrant, null, list.build());
+    return new Report(machine, session, ++seq, token, null, list.build());
   }
 
   long session() {
@@ -68,23 +68,23 @@
   }
 
   /** The answer to the report sent at {@code sentMs} in {@code ofSession}. */
-  void answered(long sentMs, long ofSession, long token, List<Command> commands) {
-    if (ofSession != session || token < warrant) {
+  void answered(long sentMs, long ofSession, long given, List<Command> commands) {
+    if (ofSession != session || given < token) {
       return;
     }
-    warrant = token;
+    token = given;
     answeredSentMs = Math.max(answeredSentMs, sentMs);
     execute(commands);
   }
 
-  boolean direct(long token, long ofSession, List<Command> commands) {
-    if (token < warrant || ofSession != session) {
+  boolean direct(long given, long ofSession, List<Command> commands) {
+    if (given < token || ofSession != session) {
       return false;
     }
-    if (token > warrant) {
+    if (given > token) {
       changed = true;
     }
-    warrant = token;
+    token = given;
     execute(commands);
     return true;
   }
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -127,7 +127,7 @@
   private long tickets;
   private final Map<Long, Consumer<Effect>> answers = new HashMap<>();
   private final TreeMap<String, Host> hosts = new TreeMap<>();
-  private final Map<String, ImmutableList<String>> charters = new HashMap<>();
+  private final Map<String, ImmutableList<String>> requests = new HashMap<>();
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Set<TaskId> results = new HashSet<>();
   private int hostNames;
@@ -444,7 +444,7 @@
           it.addr(),
           commandsLateMs,
           w -> {
-            boolean executed = w.direct(it.warrant(), it.session(), it.commands());
+            boolean executed = w.direct(it.token(), it.session(), it.commands());
             return new Reply.WorkerSays(executed, w.report());
           });
     } else if (effect instanceof Effect.AskInspect it) {
@@ -645,7 +645,7 @@
   }
 
   private Reply rent(Record.Rent rent) {
-    ImmutableList<String> known = charters.get(rent.charter());
+    ImmutableList<String> known = requests.get(rent.requestName());
     if (known != null) {
       return new Reply.Rented(known);
     }
@@ -669,7 +669,7 @@
     if (count <= 0) {
       return new Reply.NoCapacity();
     }
-    charters.put(rent.charter(), names.build());
+    requests.put(rent.requestName(), names.build());
     return new Reply.Rented(names.build());
   }
 
@@ -832,7 +832,7 @@
     over[0] = true;
     w.waiting = false;
     if (effect instanceof Effect.AnswerWorker it) {
-      w.answered(sentMs, session, it.warrant(), it.commands());
+      w.answered(sentMs, session, it.token(), it.commands());
     } else if (effect instanceof Effect.RedirectWorker it) {
       if (it.leader() != null && !it.leader().equals("roost-" + w.node)) {
         w.node = it.leader().charAt(it.leader().length() - 1) - '0';
--- a/src/test/java/eiderfork/wire/WireTest.java
+++ b/src/test/java/eiderfork/wire/WireTest.java
@@ -96,7 +96,7 @@
                 "Hatchlings":[{"Hatchling":"run-000412/3","Try":2,"Stance":"running"},
                 {"Hatchling":"run-000398/0","Try":1,"Stance":"ended","Cause":"done"}]}"""));
     assertEquals(88, report.seq());
-    assertEquals(41, report.warrant());
+    assertEquals(41, report.token());
     assertNull(report.noticeS());
     assertEquals(new Attempt(new TaskId("run-000412", 3), 2), report.tasks().get(0).attempt());
     assertEquals(TaskReport.Cause.DONE, report.tasks().get(1).cause());
