--- a/src/test/java/eiderfork/core/HistoryTest.java
+++ b/src/test/java/eiderfork/core/HistoryTest.java
@@ -28,6 +28,63 @@
     rulesHold(new World(seed, World.slow()), seed);
   }
 
+  /** Troubles that meet: late and lost transactions, old reports, refusals before an outage. */
+  @ParameterizedTest
+  @ValueSource(longs = {31, 32, 33, 34, 35, 36, 37, 38, 39, 40, 41, 42, 43, 44, 45, 46})
+  void rulesHoldWhereTroublesMeet(long seed) {
+    World world = new World(seed);
+    Random script = new Random(seed * 37);
+    world.lateWrites = 0.08;
+    world.lostAnswers = 0.08;
+    world.lateReports = 0.1;
+    world.reportsForNext = 0.1;
+    world.closeLooks = seed % 2 == 0;
+    world.commandsLateMs = seed % 3 * 700;
+    for (int i = 0; i < 7; i++) {
+      int kind = (i + (int) seed) % 7;
+      world.at(12_000 + i * 11_000L + script.nextInt(8000), () -> meeting(world, script, kind));
+    }
+    rulesHold(world, seed);
+  }
+
+  private static void meeting(World world, Random script, int kind) {
+    String node = "roost-" + script.nextInt(3);
+    String leader = world.leader() == null ? node : world.leader();
+    List<FakeWorker> workers = world.workers();
+    switch (kind) {
+      case 0 -> {
+        world.refuse(leader, 12_000);
+        world.at(1500, () -> world.state.outage(world.nowMs));
+        world.at(20_000 + script.nextInt(15_000), () -> world.state.recover(world.nowMs));
+      }
+      case 1 -> world.isolate(leader, 10_000 + script.nextInt(15_000));
+      case 2 -> world.freeze(leader, 1000 + script.nextInt(12_000));
+      case 3 -> {
+        for (int i = 0; i < 3; i++) {
+          world.at(i * 4200L, () -> world.crash(leaderOr(world, node), 300));
+        }
+      }
+      case 4 -> {
+        workers.stream().limit(3).forEach(w -> world.deafen(w.machine.name(), 14_000));
+        world.at(800, () -> world.crash(leaderOr(world, node), 3000));
+      }
+      case 5 -> {
+        workers.stream().limit(3).forEach(w -> world.mute(w.machine.name(), 14_000));
+        world.at(800, () -> world.crash(leaderOr(world, node), 3000));
+      }
+      default -> {
+        world.stateDelayMs = 300;
+        world.at(9000, () -> world.stateDelayMs = 0);
+        world.holdNextReports(3000 + script.nextInt(9000));
+        world.crash(leader, 2000);
+      }
+    }
+  }
+
+  private static String leaderOr(World world, String node) {
+    return world.leader() == null ? node : world.leader();
+  }
+
   private static void rulesHold(World world, long seed) {
     Random script = new Random(seed * 31);
     world.loss = 0.01;
@@ -61,10 +118,7 @@
           script.nextInt(180_000), () -> world.query("run-%06d".formatted(script.nextInt(26))));
     }
     world.run(110);
-    world.loss = 0;
-    world.late = 0;
-    world.doubled = 0;
-    world.cuts.clear();
+    world.quiet();
     world.run(110);
     assertEquals(List.of(), world.checker.breaches);
     assertTrue(world.checker.starts > 10);
