A peer's word is incomplete after a confirmation was dropped before its time

A unit test found it: a node that remembers more confirmations than it has room for drops the oldest, and the next answer skipped them and still counted as complete. Each peer now counts as not told until the dropped ones are past their time. CancellationsTest.

--- a/src/main/java/eiderfork/core/Cancellations.java
+++ b/src/main/java/eiderfork/core/Cancellations.java
@@ -42,6 +42,10 @@
     long process;
     long upTo;
     long acknowledged;
+
+    /** When a confirmation that it had not acknowledged was last dropped before its time. */
+    long evictedMs = NEVER;
+
     long provenMs = NEVER;
   }
 
@@ -54,10 +58,8 @@
   private final Set<String> confirmedUids = new HashSet<>();
   private long lastNumber;
 
-  /** The newest confirmation that was dropped before its time, and when. */
-  private long evictedNumber;
-
-  private long evictedMs = NEVER;
+  /** When a confirmation was last dropped before its time, whoever knew it. */
+  private long lastEvictedMs = NEVER;
 
   /** What was confirmed here or heard of; a hint that a restart or many others may lose. */
   private final Cache<String, Boolean> heard =
@@ -99,8 +101,12 @@
       if (confirmed.size() > MOST) {
         Confirmed oldest = confirmed.remove();
         confirmedUids.remove(oldest.uid);
-        evictedNumber = oldest.number;
-        evictedMs = context.nowMs;
+        lastEvictedMs = context.nowMs;
+        for (Peer peer : peers.values()) {
+          if (peer.acknowledged < oldest.number) {
+            peer.evictedMs = context.nowMs;
+          }
+        }
       }
     }
     hear(uid);
@@ -148,8 +154,7 @@
             .limit(MOST_TOLD_AT_ONCE)
             .map(Confirmed::uid)
             .collect(ImmutableList.toImmutableList());
-    boolean evicted =
-        peer.acknowledged < evictedNumber && context.nowMs - evictedMs <= rememberedMs();
+    boolean evicted = context.nowMs - peer.evictedMs <= rememberedMs();
     // What was dropped because its time is over matters to nobody.
     long after = unknown.isEmpty() ? lastNumber : unknown.peek().number - 1;
     return new CancellationNews(
@@ -172,6 +177,8 @@
       peer.process = news.process();
       peer.upTo = 0;
       peer.acknowledged = 0;
+      // A process that knows nothing yet can't be told what was dropped already.
+      peer.evictedMs = lastEvictedMs;
     }
     if (news.heardProcess() == process) {
       peer.acknowledged = Math.max(peer.acknowledged, news.heardUpTo());
