--- a/src/test/java/eiderfork/core/QuotaTest.java
+++ b/src/test/java/eiderfork/core/QuotaTest.java
@@ -165,6 +165,10 @@
       world.submit(last);
       world.at(40, () -> world.submit(waiting));
       world.at(abortAfterMs, () -> world.abort(last.uid()));
+      // From here on no answer to a report stops what the late command starts.
+      world.at(
+          abortAfterMs + lateMs / 2,
+          () -> world.workers().forEach(worker -> world.mute(worker.machine.name(), 4000)));
       world.run(15);
       Outcome.allServed(world, jobs);
     }
