Tests: a cancellation heard of in an outage, leases that an older leader renews

Both fail with their guard taken out on a scratch copy and pass as the code stands: the stop of what peers told without a sure lease (4 of 4), and the wait until every peer has yielded before unseen leases count (1 of 4).

--- a/src/test/java/eiderfork/core/CancellationTest.java
+++ b/src/test/java/eiderfork/core/CancellationTest.java
@@ -68,6 +68,31 @@
     world.run(30);
   }
 
+  /**
+   * The leader hears of it only once its own lease is not sure any more, and stops it all the same.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {0, 200, 500, 700})
+  void aCancellationHeardOfDuringTheOutageIsStoppedAtOnce(long afterMs) {
+    twoServicesRun();
+    String leader = world.leader();
+    world.refuse(leader, 14_000);
+    for (int i = 0; i < 2; i++) {
+      world.cut(leader + ">" + peer(i), 6000);
+      world.cut(peer(i) + ">" + leader, 6000);
+    }
+    String peer = peer(0);
+    world.at(afterMs, () -> world.abortAt(peer, cancelled.uid()));
+    outage(1500, 55_000);
+    world.run(5.8);
+    assertEquals(Stance.ABORTED, world.checker.finalStance(cancelled.uid()));
+    assertEquals(3, world.checker.running(cancelled.uid()), "the leader can't know yet");
+    world.run(4);
+    assertEquals(0, world.checker.running(cancelled.uid()));
+    assertEquals(3, world.checker.running(kept.uid()));
+    world.run(55);
+  }
+
   /** The same, and the peer that confirmed it ends, alone or with the other one. */
   @ParameterizedTest
   @ValueSource(longs = {1, 100, 300, 800, 1500, 3000, 8000})
--- a/src/test/java/eiderfork/core/TakeoverTest.java
+++ b/src/test/java/eiderfork/core/TakeoverTest.java
@@ -136,6 +136,30 @@
     }
   }
 
+  /**
+   * An older leader, cut from the state service and its peers, renews the leases of machines that
+   * its successor can't reach. None of their tasks starts elsewhere while that may go on.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {12_000, 18_000, 25_000, 40_000})
+  void leasesThatAnOlderLeaderRenewsDoNotCountAsLapsed(int forMs) {
+    World world = new World(4);
+    List<Job> jobs = services(world, 5);
+    world.run(25);
+    String old = world.leader();
+    world.isolate(old, forMs);
+    for (FakeWorker worker : world.workers()) {
+      for (String node : world.all()) {
+        if (!node.equals(old)) {
+          world.cut(node + ">" + worker.machine.name(), forMs);
+          world.cut(worker.machine.name() + ">" + node, forMs);
+        }
+      }
+    }
+    world.run(60);
+    Outcome.allServed(world, jobs);
+  }
+
   /** Workers can't open connections to any controller, while direct commands still reach them. */
   @Test
   void machinesThatReachNobodyAreNotStartedOnTwice() {
