--- a/src/main/java/eiderfork/cli/Commands.java
+++ b/src/main/java/eiderfork/cli/Commands.java
@@ -40,6 +40,7 @@
     return line;
   }
 
+  /** The version that the package carries. */
   static final class Version implements IVersionProvider {
     @Override
     public String[] getVersion() {
@@ -66,6 +67,7 @@
     }
   }
 
+  /** Runs a controller. */
   @Command(name = "serve", description = "Runs a controller until it is killed.")
   static final class Serve implements Callable<Integer> {
     @CommandLine.Mixin private Files files;
@@ -77,6 +79,7 @@
     }
   }
 
+  /** Checks the settings without running anything. */
   @Command(name = "check", description = "Checks the settings and says what is wrong with them.")
   static final class Check implements Callable<Integer> {
     @CommandLine.Mixin private Files files;
--- a/src/main/java/eiderfork/cli/Main.java
+++ b/src/main/java/eiderfork/cli/Main.java
@@ -21,6 +21,7 @@
 
   private Main() {}
 
+  /** Runs the command that the arguments name and ends the process with its exit code. */
   public static void main(String[] args) {
     logTo(System.getenv("LOG_LEVEL"));
     boolean plain = args.length == 2 && args[0].equals("serve") && !args[1].startsWith("-");
--- /dev/null
+++ b/src/main/java/eiderfork/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package eiderfork.cli;
--- a/src/main/java/eiderfork/config/OperatorFile.java
+++ b/src/main/java/eiderfork/config/OperatorFile.java
@@ -25,6 +25,11 @@
     this.map = map;
   }
 
+  /**
+   * Reads and checks an operators' file.
+   *
+   * @throws BadSettings where the file or an entry can't be used
+   */
   public static OperatorSettings read(Path path) throws BadSettings {
     try {
       return parse(path.toString(), Files.readString(path));
@@ -33,6 +38,11 @@
     }
   }
 
+  /**
+   * Checks the text of an operators' file; {@code file} is only named in errors.
+   *
+   * @throws BadSettings where the text or an entry can't be used
+   */
   public static OperatorSettings parse(String file, String text) throws BadSettings {
     Object value;
     try {
--- a/src/main/java/eiderfork/config/Settings.java
+++ b/src/main/java/eiderfork/config/Settings.java
@@ -22,6 +22,7 @@
     Controller controller,
     OperatorSettings operator) {
 
+  /** A host and port. */
   public record Endpoint(String host, int port) {
     @Override
     public String toString() {
@@ -32,8 +33,12 @@
   /** An aim of the users: {@code kind} is "wait" or "finished". */
   public record Objective(String kind, String jobClass, double withinS, double share) {}
 
+  /**
+   * How often workers report, how long their leases last, and how soon cancelled tasks must end.
+   */
   public record Workers(double reportS, double leaseS, double cancelS) {}
 
+  /** What the state service takes: requests and changes a second, and the size of a value. */
   public record StateLimits(double rps, double writeRps, double valueKb) {}
 
   /** What a controller's machine gives it: a share of one core, and sockets. */
@@ -47,5 +52,6 @@
     }
   }
 
+  /** What the cloud takes in calls a second, and how old its lists may be. */
   public record CloudLimits(double rps, double listLagS) {}
 }
--- a/src/main/java/eiderfork/config/SettingsFile.java
+++ b/src/main/java/eiderfork/config/SettingsFile.java
@@ -26,6 +26,11 @@
     this.file = file;
   }
 
+  /**
+   * Reads and checks a settings file.
+   *
+   * @throws BadSettings where the file or a field can't be used
+   */
   public static Settings read(Path path, OperatorSettings operator) throws BadSettings {
     String text;
     try {
@@ -36,6 +41,11 @@
     return parse(path.toString(), text, operator);
   }
 
+  /**
+   * Checks the text of a settings file; {@code file} is only named in errors.
+   *
+   * @throws BadSettings where the text or a field can't be used
+   */
   public static Settings parse(String file, String text, OperatorSettings operator)
       throws BadSettings {
     JsonNode root;
@@ -56,30 +66,6 @@
     }
     JsonNode endpoints = table(root, "", "endpoints");
     JsonNode deployment = table(root, "", "deployment");
-    ImmutableMap.Builder<String, Team> teams = ImmutableMap.builder();
-    String at = "deployment.teams";
-    for (JsonNode team : deployment.path("teams")) {
-      String name = text(team, at, "name");
-      teams.put(
-          name,
-          new Team(
-              name,
-              number(team, at, "cpus", 0),
-              number(team, at, "cpus_max", 0),
-              number(team, at, "gpus", 0),
-              number(team, at, "gpus_max", 0)));
-    }
-    ImmutableList.Builder<Settings.Objective> objectives = ImmutableList.builder();
-    for (JsonNode objective : deployment.path("objectives")) {
-      at = "deployment.objectives";
-      objectives.add(
-          new Settings.Objective(
-              text(objective, at, "kind"),
-              // An aim of the teams' guarantees speaks of no class.
-              objective.path("class").asText(""),
-              number(objective, at, "within_s", 0),
-              number(objective, at, "share", 0)));
-    }
     JsonNode workers = table(deployment, "deployment", "workers");
     JsonNode state = table(deployment, "deployment", "state");
     JsonNode cloud = table(deployment, "deployment", "cloud");
@@ -118,8 +104,8 @@
         peerZones.buildKeepingLast(),
         endpoint(endpoints, "endpoints", "cloud"),
         endpoint(endpoints, "endpoints", "state"),
-        teams.buildKeepingLast(),
-        objectives.build(),
+        teams(deployment),
+        objectives(deployment),
         new Settings.Workers(reportS, leaseS, cancelS),
         new Settings.StateLimits(
             positive(state, inState, "rps"), positive(state, inState, "write_rps"), valueKb),
@@ -131,6 +117,38 @@
         operator);
   }
 
+  private ImmutableMap<String, Team> teams(JsonNode deployment) throws BadSettings {
+    String at = "deployment.teams";
+    ImmutableMap.Builder<String, Team> teams = ImmutableMap.builder();
+    for (JsonNode team : deployment.path("teams")) {
+      String name = text(team, at, "name");
+      teams.put(
+          name,
+          new Team(
+              name,
+              number(team, at, "cpus", 0),
+              number(team, at, "cpus_max", 0),
+              number(team, at, "gpus", 0),
+              number(team, at, "gpus_max", 0)));
+    }
+    return teams.buildKeepingLast();
+  }
+
+  private ImmutableList<Settings.Objective> objectives(JsonNode deployment) throws BadSettings {
+    String at = "deployment.objectives";
+    ImmutableList.Builder<Settings.Objective> objectives = ImmutableList.builder();
+    for (JsonNode objective : deployment.path("objectives")) {
+      objectives.add(
+          new Settings.Objective(
+              text(objective, at, "kind"),
+              // An aim of the teams' guarantees speaks of no class.
+              objective.path("class").asText(""),
+              number(objective, at, "within_s", 0),
+              number(objective, at, "share", 0)));
+    }
+    return objectives.build();
+  }
+
   /** Refuses figures that can't work together. */
   private void check(boolean works, String at, String name, String reason) throws BadSettings {
     if (!works) {
--- /dev/null
+++ b/src/main/java/eiderfork/config/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's settings and the operators' own, read and checked. */
+package eiderfork.config;
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -67,6 +67,12 @@
   /** Reads that failed and are tried again at the next tick. */
   private final List<Runnable> again = new ArrayList<>();
 
+  /**
+   * Makes a controller that follows until it is elected.
+   *
+   * @param random the source of backoffs and samples
+   * @param nowMs the steady time now
+   */
   public Controller(Settings settings, RandomGenerator random, long nowMs) {
     context = new Context(settings, random, nowMs);
     gate = new StateGate(context);
--- a/src/main/java/eiderfork/core/Effect.java
+++ b/src/main/java/eiderfork/core/Effect.java
@@ -8,21 +8,35 @@
 public sealed interface Effect {
   /** A request whose reply comes back as {@link Input.Answered}; none in time is Unanswered. */
   sealed interface Call extends Effect {
+    /** The number under which the reply comes back. */
     long call();
 
+    /** How long to wait for the reply. */
     long timeoutMs();
   }
 
+  /** An answer to an input that carried this ticket. */
+  sealed interface Answer extends Effect {
+    /** The ticket of the input that is answered. */
+    long ticket();
+  }
+
+  /** Asks the state service. */
   record AskState(long call, StateOp op, long timeoutMs) implements Call {}
 
+  /** Asks the cloud for its machine types. */
   record AskTypes(long call, long timeoutMs) implements Call {}
 
+  /** Asks the cloud for machines. */
   record AskRent(long call, Record.Rent rent, long timeoutMs) implements Call {}
 
+  /** Returns machines to the cloud. */
   record AskReturn(long call, ImmutableList<String> machines, long timeoutMs) implements Call {}
 
+  /** Asks the cloud for the machine list, beginning after {@code after}. */
   record AskHosts(long call, String after, long timeoutMs) implements Call {}
 
+  /** Sends commands to a worker directly. */
   record AskCommands(
       long call,
       String addr,
@@ -32,26 +46,34 @@
       long timeoutMs)
       implements Call {}
 
+  /** Asks a worker for its report. */
   record AskInspect(long call, String addr, long timeoutMs) implements Call {}
 
+  /** Tells a peer this node's view and asks for its own. */
   record AskPeerPing(long call, String node, PeerView view, long timeoutMs) implements Call {}
 
+  /** Passes a user's request on to a peer. */
   record AskPeerRequest(long call, String node, Input request, long timeoutMs) implements Call {}
 
   /** Questions after several jobs, answered in their order. */
   record AskPeerQueries(long call, String node, ImmutableList<String> uids, long timeoutMs)
       implements Call {}
 
-  record AnswerPeerQueries(long ticket, ImmutableList<UserAnswer> answers) implements Effect {}
+  /** Answers queries that a peer passed on, in their order. */
+  record AnswerPeerQueries(long ticket, ImmutableList<UserAnswer> answers) implements Answer {}
 
-  record AnswerUser(long ticket, UserAnswer answer) implements Effect {}
+  /** Answers a user or, for a request that was passed on, a peer. */
+  record AnswerUser(long ticket, UserAnswer answer) implements Answer {}
 
-  record AnswerHealth(long ticket, boolean healthy, String why) implements Effect {}
+  /** Answers a health check. */
+  record AnswerHealth(long ticket, boolean healthy, String why) implements Answer {}
 
-  record AnswerWorker(long ticket, long token, ImmutableList<Command> commands) implements Effect {}
+  /** Answers a worker's report, which renews its lease. */
+  record AnswerWorker(long ticket, long token, ImmutableList<Command> commands) implements Answer {}
 
   /** 421: report elsewhere; {@code leader} is null where it is not known. */
-  record RedirectWorker(long ticket, String leader) implements Effect {}
+  record RedirectWorker(long ticket, String leader) implements Answer {}
 
-  record AnswerPing(long ticket, PeerView view) implements Effect {}
+  /** Answers a peer's ping. */
+  record AnswerPing(long ticket, PeerView view) implements Answer {}
 }
--- a/src/main/java/eiderfork/core/Input.java
+++ b/src/main/java/eiderfork/core/Input.java
@@ -12,12 +12,16 @@
   /** A submission; {@code body} is what the user sent, for passing on. */
   record Submit(long ticket, Job job, byte[] body) implements Input {}
 
+  /** A user asks for a job's state. */
   record Query(long ticket, String uid) implements Input {}
 
+  /** A user cancels a job. */
   record Abort(long ticket, String uid) implements Input {}
 
+  /** The load balancer asks whether this node can take requests. */
   record HealthCheck(long ticket) implements Input {}
 
+  /** A worker reports. */
   record WorkerReport(long ticket, Report report) implements Input {}
 
   /** A submission, query or cancellation passed on by a peer. */
@@ -26,6 +30,7 @@
   /** Questions after several jobs, passed on by a peer. */
   record PeerQueries(long ticket, ImmutableList<String> uids) implements Input {}
 
+  /** A peer tells its view and asks for this node's. */
   record PeerPing(long ticket, PeerView view) implements Input {}
 
   /** The reply to a call that an effect asked for. */
--- a/src/main/java/eiderfork/core/Reply.java
+++ b/src/main/java/eiderfork/core/Reply.java
@@ -14,39 +14,51 @@
   /** The other side refused; nothing was done. */
   record Refused(int status) implements Reply {}
 
+  /** The transaction was applied as this revision. */
   record Committed(long revision) implements Reply {}
 
+  /** The transaction was not applied, since the conditions on these keys failed. */
   record Conflict(ImmutableList<String> failed) implements Reply {}
 
   /** {@code record} is null where the key does not exist. */
   record Value(Record record, long version) implements Reply {}
 
+  /** A key of the state service; {@code record} is null where the key was removed. */
   record Item(String key, Record record, long version) {}
 
+  /** A part of a range of keys, as of the revision. */
   record Page(ImmutableList<Item> items, boolean more, long revision) implements Reply {}
 
   /** Changes under a watched prefix; a removed key's record is null. */
   record Changes(ImmutableList<Item> items, long revision) implements Reply {}
 
+  /** A lease was granted or renewed. */
   record Leased(long lease) implements Reply {}
 
+  /** The cloud's machine types. */
   record Types(ImmutableList<MachineType> types) implements Reply {}
 
+  /** The machines that a rent brought. */
   record Rented(ImmutableList<String> machines) implements Reply {}
 
   /** The cloud has none of the kind asked for; nothing was rented. */
   record NoCapacity() implements Reply {}
 
+  /** The machines that were to be returned are gone. */
   record Returned() implements Reply {}
 
+  /** A part of the cloud's machine list. */
   record Hosts(ImmutableList<HostEntry> entries, boolean more) implements Reply {}
 
   /** A worker's report, sent back for commands ({@code executed}) or instead of them. */
   record WorkerSays(boolean executed, Report report) implements Reply {}
 
+  /** A peer's view, in answer to a ping. */
   record PeerSays(PeerView view) implements Reply {}
 
+  /** A peer's answer to a request that was passed on to it. */
   record PeerAnswered(UserAnswer answer) implements Reply {}
 
+  /** A peer's answers to queries that were passed on to it, in their order. */
   record PeerAnsweredAll(ImmutableList<UserAnswer> answers) implements Reply {}
 }
--- a/src/main/java/eiderfork/model/AllocSize.java
+++ b/src/main/java/eiderfork/model/AllocSize.java
@@ -28,11 +28,18 @@
   private int reserved;
   private int placeBytes;
 
+  /**
+   * Begins with a record that reserves nothing.
+   *
+   * @param tasks how many tasks the job has
+   * @param finishedRanges how many separate ranges of its tasks have finished
+   */
   public AllocSize(int tasks, int finishedRanges) {
     this.tasks = tasks;
     this.finishedRanges = finishedRanges;
   }
 
+  /** Counts one more reservation. */
   public void add(long attempt, String machine) {
     reserved++;
     if (attempts.add(attempt)) {
--- a/src/main/java/eiderfork/model/Command.java
+++ b/src/main/java/eiderfork/model/Command.java
@@ -1,11 +1,16 @@
 package eiderfork.model;
 
+/** What a controller tells a worker to do with one attempt of a task. */
 public sealed interface Command {
+  /** The attempt that the command is about. */
   Attempt attempt();
 
+  /** Start the attempt; without effect where the worker knows it in any state. */
   record Run(Attempt attempt) implements Command {}
 
+  /** Stop the attempt, which may save its progress for up to {@code graceS} seconds. */
   record Kill(Attempt attempt, double graceS) implements Command {}
 
+  /** Forget an attempt that has ended. */
   record Clear(Attempt attempt) implements Command {}
 }
--- a/src/main/java/eiderfork/model/HostEntry.java
+++ b/src/main/java/eiderfork/model/HostEntry.java
@@ -2,6 +2,7 @@
 
 /** A line of the cloud's machine list. */
 public record HostEntry(Machine machine, State state, double ageS) {
+  /** What the cloud says a machine is doing. */
   public enum State {
     BOOTING,
     RUNNING,
--- a/src/main/java/eiderfork/model/Job.java
+++ b/src/main/java/eiderfork/model/Job.java
@@ -31,10 +31,12 @@
   /** The most tasks that a job may have. */
   public static final int MOST_TASKS = 100_000;
 
+  /** Whether the job's tasks may run on machines of this type. */
   public boolean allowsType(String type) {
     return types == null || types.contains(type);
   }
 
+  /** Whether the job's tasks may run in this zone, as far as the job names one. */
   public boolean allowsZone(String z) {
     return zone == null || zone.equals(z);
   }
--- a/src/main/java/eiderfork/model/JobKind.java
+++ b/src/main/java/eiderfork/model/JobKind.java
@@ -1,5 +1,6 @@
 package eiderfork.model;
 
+/** How the tasks of a job depend on each other and when they end. */
 public enum JobKind {
   /** Independent tasks, each of which runs to completion. */
   ARRAY,
--- a/src/main/java/eiderfork/model/JobStatus.java
+++ b/src/main/java/eiderfork/model/JobStatus.java
@@ -2,12 +2,14 @@
 
 /** What a user is told of a job. */
 public record JobStatus(String uid, Stance stance, int done, int running) {
+  /** The state of a job as users see it. */
   public enum Stance {
     PENDING,
     RUNNING,
     DONE,
     ABORTED;
 
+    /** Whether a job in this state never changes again. */
     public boolean isFinal() {
       return this == DONE || this == ABORTED;
     }
--- a/src/main/java/eiderfork/model/MachineType.java
+++ b/src/main/java/eiderfork/model/MachineType.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 
+/** A kind of machine that the cloud rents out, with its room, image cache, prices and zones. */
 public record MachineType(
     String name,
     Resources room,
@@ -12,6 +13,7 @@
     double bootS,
     ImmutableList<String> zones) {
 
+  /** The price of an hour, on a spot machine or an ordinary one. */
   public double price(boolean spot) {
     return spot ? spotPrice : price;
   }
--- a/src/main/java/eiderfork/model/Record.java
+++ b/src/main/java/eiderfork/model/Record.java
@@ -5,6 +5,7 @@
 /** What the state service holds under a key. */
 public sealed interface Record {
 
+  /** A job as its user submitted it; written once. */
   record JobSpec(Job job) implements Record {}
 
   /** The leader key: who leads, and in which term. */
@@ -16,6 +17,7 @@
   /** The counter of terms. */
   record Term(long term) implements Record {}
 
+  /** A confirmed cancellation of a job; written once and never removed. */
   record Aborted(String uid) implements Record {}
 
   /** Tasks {@code from} to {@code to}, both included, reserved on a machine as one attempt. */
@@ -32,6 +34,7 @@
   record Alloc(
       long lastAttempt, boolean done, ImmutableList<Span> reserved, ImmutableList<Range> finished)
       implements Record {
+    /** The record of a job that nothing was ever reserved for. */
     public static final Alloc EMPTY = new Alloc(0, false, ImmutableList.of(), ImmutableList.of());
   }
 
--- a/src/main/java/eiderfork/model/Report.java
+++ b/src/main/java/eiderfork/model/Report.java
@@ -11,6 +11,7 @@
     Double noticeS,
     ImmutableList<TaskReport> tasks) {
 
+  /** Whether this report was made after the message with that session and sequence number. */
   public boolean newerThan(long otherSession, long otherSeq) {
     return session > otherSession || (session == otherSession && seq > otherSeq);
   }
--- a/src/main/java/eiderfork/model/Resources.java
+++ b/src/main/java/eiderfork/model/Resources.java
@@ -2,23 +2,28 @@
 
 /** An amount of the things a machine has and a task takes. */
 public record Resources(double cpus, double gpus, double ramGb) {
+  /** Nothing of anything. */
   public static final Resources NONE = new Resources(0, 0, 0);
 
   /** Sums of decimal amounts pick up rounding dust; nothing real is smaller than this. */
   private static final double DUST = 1e-6;
 
+  /** The sum of both amounts. */
   public Resources plus(Resources o) {
     return new Resources(cpus + o.cpus, gpus + o.gpus, ramGb + o.ramGb);
   }
 
+  /** What is left of this amount without the other; may be negative. */
   public Resources minus(Resources o) {
     return new Resources(cpus - o.cpus, gpus - o.gpus, ramGb - o.ramGb);
   }
 
+  /** This amount {@code n} times. */
   public Resources times(double n) {
     return new Resources(cpus * n, gpus * n, ramGb * n);
   }
 
+  /** Whether no part of this amount exceeds the same part of {@code room}. */
   public boolean fitsIn(Resources room) {
     return cpus <= room.cpus + DUST && gpus <= room.gpus + DUST && ramGb <= room.ramGb + DUST;
   }
--- a/src/main/java/eiderfork/model/TaskId.java
+++ b/src/main/java/eiderfork/model/TaskId.java
@@ -1,5 +1,6 @@
 package eiderfork.model;
 
+/** One task of a job, by the job's id and the task's number from 0. */
 public record TaskId(String job, int index) {
   @Override
   public String toString() {
--- a/src/main/java/eiderfork/model/TaskReport.java
+++ b/src/main/java/eiderfork/model/TaskReport.java
@@ -2,6 +2,7 @@
 
 /** What a worker says of one attempt; {@code cause} is null unless it has ended. */
 public record TaskReport(Attempt attempt, State state, Cause cause, boolean saved) {
+  /** What an attempt is doing on its machine. */
   public enum State {
     FETCHING,
     /** A gang's task that waits for the others. */
@@ -11,6 +12,7 @@
     ENDED
   }
 
+  /** Why an attempt has ended, or was refused. */
   public enum Cause {
     DONE,
     STOPPED,
@@ -24,6 +26,7 @@
     INCOMPLETE
   }
 
+  /** Whether the attempt has ended; only then it has a cause. */
   public boolean ended() {
     return state == State.ENDED;
   }
--- a/src/main/java/eiderfork/model/Team.java
+++ b/src/main/java/eiderfork/model/Team.java
@@ -2,6 +2,7 @@
 
 /** A team's guarantee and limit; a limit of 0 is none. */
 public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+  /** Whether {@code used} lies within the team's limit; a limit of 0 is none. */
   public boolean withinLimit(Resources used) {
     return new Resources(used.cpus(), used.gpus(), 0)
         .fitsIn(new Resources(limit(cpusMax), limit(gpusMax), 0));
--- a/src/main/java/eiderfork/net/Node.java
+++ b/src/main/java/eiderfork/net/Node.java
@@ -42,6 +42,7 @@
   private final Long2ObjectOpenHashMap<HttpServer.Exchange> passedOn =
       new Long2ObjectOpenHashMap<>();
 
+  /** Makes a node that does nothing until it is started. */
   public Node(Settings settings) {
     this.settings = settings;
     client = new HttpClient(loop, settings.controller().outbound());
@@ -52,6 +53,7 @@
     return System.nanoTime() / 1_000_000;
   }
 
+  /** Opens the listening ports and starts the controller. */
   public void start() throws InterruptedException {
     new HttpServer(this::publicRequest, settings.controller().sockets())
         .listen(group, settings.listen());
--- a/src/main/java/eiderfork/net/Rehearsal.java
+++ b/src/main/java/eiderfork/net/Rehearsal.java
@@ -31,6 +31,11 @@
 
   private Rehearsal() {}
 
+  /**
+   * Runs the rehearsal once.
+   *
+   * @throws Exception where the controller or a stand-in fails
+   */
   public static void run() throws Exception {
     for (int left = TRIES; ; left--) {
       try {
--- a/src/main/java/eiderfork/wire/CloudWire.java
+++ b/src/main/java/eiderfork/wire/CloudWire.java
@@ -14,8 +14,13 @@
 
 /** What the cloud is asked and says. */
 public final class CloudWire {
+  /** Where the cloud tells its machine types. */
   public static final String TYPES = "/flavors";
+
+  /** Where machines are rented and listed. */
   public static final String HOSTS = "/hosts";
+
+  /** Where machines are returned. */
   public static final String RETURN = "/hosts/return";
 
   /** The most entries of a page of the machine list. */
@@ -23,10 +28,12 @@
 
   private CloudWire() {}
 
+  /** The path of the page of the machine list that begins after this machine. */
   public static String hostsPath(String after) {
     return HOSTS + "?Page=" + PAGE + (after.isEmpty() ? "" : "&After=" + after);
   }
 
+  /** The body of a request to rent machines. */
   public static byte[] rent(Record.Rent rent) {
     ObjectNode node = Json.object();
     node.put("Charter", rent.requestName());
@@ -37,6 +44,7 @@
     return Json.bytes(node);
   }
 
+  /** The body of a request to return machines. */
   public static byte[] giveBack(List<String> machines) {
     ObjectNode node = Json.object();
     ArrayNode names = node.putArray("Roosts");
@@ -44,6 +52,11 @@
     return Json.bytes(node);
   }
 
+  /**
+   * Reads the answer to a question for the machine types.
+   *
+   * @throws BadMessage where it does not follow the protocol
+   */
   public static Reply types(int status, byte[] body) throws BadMessage {
     if (status != 200) {
       return new Reply.Refused(status);
@@ -103,6 +116,11 @@
     return texts.build();
   }
 
+  /**
+   * Reads the answer to a rent.
+   *
+   * @throws BadMessage where it does not follow the protocol
+   */
   public static Reply rented(int status, byte[] body) throws BadMessage {
     if (status == 200) {
       return new Reply.Rented(texts(Json.array(Json.parse(body), "Roosts")));
@@ -113,10 +131,16 @@
     return new Reply.Refused(status);
   }
 
+  /** What the answer to a return says. */
   public static Reply returned(int status) {
     return status == 200 ? new Reply.Returned() : new Reply.Refused(status);
   }
 
+  /**
+   * Reads a page of the machine list.
+   *
+   * @throws BadMessage where it does not follow the protocol
+   */
   public static Reply hosts(int status, byte[] body) throws BadMessage {
     if (status != 200) {
       return new Reply.Refused(status);
--- a/src/main/java/eiderfork/wire/PeerWire.java
+++ b/src/main/java/eiderfork/wire/PeerWire.java
@@ -23,8 +23,13 @@
 
 /** What the nodes exchange with each other, in Avro. */
 public final class PeerWire {
+  /** Where peers exchange their views. */
   public static final String PING = "/peer/ping";
+
+  /** Where a user's request is passed on. */
   public static final String REQUEST = "/peer/request";
+
+  /** Where several queries are passed on together. */
   public static final String QUERIES = "/peer/queries";
 
   private static final String SCHEMAS = "peer.avpr.json";
@@ -58,6 +63,7 @@
         schema.getName(), null, schema.getNamespace(), schema.isError(), fields);
   }
 
+  /** Writes a node's view. */
   public static byte[] view(PeerView view) {
     GenericRecord record = new GenericData.Record(VIEW);
     record.put("node", view.node());
@@ -99,6 +105,11 @@
     return list.stream().map(Object::toString).collect(ImmutableList.toImmutableList());
   }
 
+  /**
+   * Reads a node's view, also from a process with older schemas.
+   *
+   * @throws BadMessage where it can't be read
+   */
   public static PeerView view(byte[] bytes) throws BadMessage {
     GenericRecord record = readView(bytes);
     return new PeerView(
@@ -110,6 +121,7 @@
         news(record.get("news")));
   }
 
+  /** Writes a user's request that is passed on. */
   public static byte[] request(Input request) {
     GenericRecord record = new GenericData.Record(ASKED);
     if (request instanceof Input.Submit it) {
@@ -128,6 +140,11 @@
     record.put("uid", uid);
   }
 
+  /**
+   * Reads a user's request that a peer passed on.
+   *
+   * @throws BadMessage where it can't be read
+   */
   public static Input request(byte[] bytes) throws BadMessage {
     GenericRecord record = read(ASKED, bytes);
     String uid = record.get("uid").toString();
@@ -146,22 +163,34 @@
     }
   }
 
+  /** Writes the ids of jobs that are asked for together. */
   public static byte[] queries(List<String> uids) {
     GenericRecord record = new GenericData.Record(QUESTIONS);
     record.put("uids", uids);
     return bytes(record);
   }
 
+  /**
+   * Reads the ids of jobs that are asked for together.
+   *
+   * @throws BadMessage where they can't be read
+   */
   public static ImmutableList<String> queries(byte[] bytes) throws BadMessage {
     return strings((List<?>) read(QUESTIONS, bytes).get("uids"));
   }
 
+  /** Writes the answers to queries, in the order of the queries. */
   public static byte[] answers(List<UserAnswer> answers) {
     GenericRecord record = new GenericData.Record(ANSWERS);
     record.put("answers", answers.stream().map(PeerWire::toRecord).toList());
     return bytes(record);
   }
 
+  /**
+   * Reads the answers to queries.
+   *
+   * @throws BadMessage where they can't be read
+   */
   public static Reply answers(byte[] bytes) throws BadMessage {
     ImmutableList.Builder<UserAnswer> answers = ImmutableList.builder();
     for (Object answer : (List<?>) read(ANSWERS, bytes).get("answers")) {
@@ -170,6 +199,7 @@
     return new Reply.PeerAnsweredAll(answers.build());
   }
 
+  /** Writes the answer to a request that was passed on. */
   public static byte[] answer(UserAnswer answer) {
     return bytes(toRecord(answer));
   }
@@ -187,6 +217,11 @@
     return record;
   }
 
+  /**
+   * Reads the answer to a request that was passed on.
+   *
+   * @throws BadMessage where it can't be read
+   */
   public static Reply answer(byte[] bytes) throws BadMessage {
     return new Reply.PeerAnswered(fromRecord(read(ANSWER, bytes)));
   }
--- a/src/main/java/eiderfork/wire/StateWire.java
+++ b/src/main/java/eiderfork/wire/StateWire.java
@@ -17,6 +17,7 @@
   /** A request line and body; the body is null for none. */
   public record Request(String method, String path, byte[] body) {}
 
+  /** The request that carries out an operation. */
   public static Request request(StateOp op) {
     if (op instanceof StateOp.Transact it) {
       return new Request("POST", "/multi", transaction(it));
@@ -62,6 +63,11 @@
     return Json.bytes(node);
   }
 
+  /**
+   * What the state service's answer to an operation says.
+   *
+   * @throws BadMessage where it does not follow the protocol
+   */
   public static Reply reply(StateOp op, int status, byte[] body) throws BadMessage {
     if (op instanceof StateOp.Get get && status == 404) {
       // A 404 that is not the state service's own says nothing about the key.
--- a/src/main/java/eiderfork/wire/UserWire.java
+++ b/src/main/java/eiderfork/wire/UserWire.java
@@ -12,18 +12,29 @@
 
 /** What users send and are told. */
 public final class UserWire {
+  /** Where jobs are submitted and asked for. */
   public static final String RUNS = "/v2/runs";
+
+  /** What a job's path ends with to cancel it. */
   public static final String ABORT = "/abort";
+
+  /** Where the load balancer probes. */
   public static final String HEALTH = "/healthz";
 
   private static final Pattern UID = Pattern.compile("run-[0-9]{1,18}");
 
   private UserWire() {}
 
+  /** Whether the text has the form of a job's id. */
   public static boolean isUid(String text) {
     return UID.matcher(text).matches();
   }
 
+  /**
+   * Reads a submission.
+   *
+   * @throws BadMessage where it does not follow the protocol
+   */
   public static Job job(byte[] body) throws BadMessage {
     return job(Json.parse(body));
   }
@@ -105,6 +116,7 @@
     return node;
   }
 
+  /** The body of an answer to a user. */
   public static byte[] body(UserAnswer answer) {
     ObjectNode node = Json.object();
     JobStatus job = answer.job();
@@ -119,6 +131,7 @@
     return Json.bytes(node);
   }
 
+  /** The body of an answer to a health check. */
   public static byte[] health(boolean healthy, String why) {
     ObjectNode node = Json.object();
     node.put("healthy", healthy);
@@ -126,6 +139,7 @@
     return Json.bytes(node);
   }
 
+  /** The body of an answer that says what is wrong. */
   public static byte[] error(String error) {
     return Json.bytes(Json.object().put("error", error));
   }
--- a/src/main/java/eiderfork/wire/WorkerWire.java
+++ b/src/main/java/eiderfork/wire/WorkerWire.java
@@ -14,12 +14,22 @@
 
 /** What workers send and are sent. */
 public final class WorkerWire {
+  /** Where workers report. */
   public static final String REPORT = "/v1/report";
+
+  /** Where a worker takes direct commands. */
   public static final String COMMANDS = "/do";
+
+  /** Where a worker tells its report. */
   public static final String INSPECT = "/inspect";
 
   private WorkerWire() {}
 
+  /**
+   * Reads a worker's report.
+   *
+   * @throws BadMessage where it does not follow the protocol
+   */
   public static Report report(byte[] body) throws BadMessage {
     JsonNode node = Json.parse(body);
     Machine machine =
@@ -57,6 +67,7 @@
     return new TaskReport(new Attempt(id, Json.integer(node, "Try")), state, cause, saved);
   }
 
+  /** The body of an answer to a report. */
   public static byte[] answer(long token, List<Command> commands) {
     ObjectNode node = Json.object();
     node.put("Warrant", token);
@@ -64,6 +75,7 @@
     return Json.bytes(node);
   }
 
+  /** The body of direct commands. */
   public static byte[] commands(long token, long session, List<Command> commands) {
     ObjectNode node = Json.object();
     node.put("Warrant", token);
@@ -90,6 +102,7 @@
     }
   }
 
+  /** The body of a redirect to the leader; {@code leader} is null where it is not known. */
   public static byte[] redirect(String leader) {
     ObjectNode node = Json.object();
     if (leader != null) {
--- a/src/test/java/eiderfork/config/SettingsTest.java
+++ b/src/test/java/eiderfork/config/SettingsTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+/** Settings that can't be used end the start with file, field and reason; others are taken. */
 class SettingsTest {
   static final String GOOD =
       """
--- a/src/test/java/eiderfork/core/BudgetTest.java
+++ b/src/test/java/eiderfork/core/BudgetTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
+/** The limits on requests to the state service and the cloud are kept. */
 class BudgetTest {
   @Test
   void aBucketHoldsItsBurstAndFillsAtItsRate() {
--- a/src/test/java/eiderfork/core/ControllerTest.java
+++ b/src/test/java/eiderfork/core/ControllerTest.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
+/** A single controller, input by input. */
 class ControllerTest {
   private final Controller node = new Controller(World.settings("roost-0"), new Random(1), 0);
   private final List<Effect> effects = new ArrayList<>();
--- a/src/test/java/eiderfork/core/JobBookTest.java
+++ b/src/test/java/eiderfork/core/JobBookTest.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
+/** What a leader keeps of jobs beside their state. */
 class JobBookTest {
   /**
    * A new leader once knew only the images of what runs, and sent replicas to machines that had to
--- a/src/test/java/eiderfork/core/NoRoomTest.java
+++ b/src/test/java/eiderfork/core/NoRoomTest.java
@@ -8,6 +8,7 @@
 import eiderfork.model.Priority;
 import org.junit.jupiter.api.Test;
 
+/** What a proof of no room says of other jobs. */
 class NoRoomTest {
   private static Job job(double gpus, boolean spot) {
     return World.job(1, JobKind.SERVICE, 1, gpus, "blue", Priority.HIGH, false, spot);
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -449,7 +449,18 @@
           });
     } else if (effect instanceof Effect.AskInspect it) {
       worker(node, it, it.addr(), 0, w -> new Reply.WorkerSays(true, w.report()));
-    } else if (effect instanceof Effect.AskPeerPing it) {
+    } else if (effect instanceof Effect.Answer it) {
+      Consumer<Effect> then = answers.remove(it.ticket());
+      if (then != null) {
+        then.accept(effect);
+      }
+    } else {
+      askPeer(node, effect);
+    }
+  }
+
+  private void askPeer(String node, Effect effect) {
+    if (effect instanceof Effect.AskPeerPing it) {
       call(
           node,
           it,
@@ -482,23 +493,6 @@
                   said ->
                       then.accept(
                           new Reply.PeerAnsweredAll(((Effect.AnswerPeerQueries) said).answers()))));
-    } else {
-      long ticket =
-          effect instanceof Effect.AnswerUser a
-              ? a.ticket()
-              : effect instanceof Effect.AnswerWorker b
-                  ? b.ticket()
-                  : effect instanceof Effect.RedirectWorker c
-                      ? c.ticket()
-                      : effect instanceof Effect.AnswerPing d
-                          ? d.ticket()
-                          : effect instanceof Effect.AnswerPeerQueries e
-                              ? e.ticket()
-                              : ((Effect.AnswerHealth) effect).ticket();
-      Consumer<Effect> then = answers.remove(ticket);
-      if (then != null) {
-        then.accept(effect);
-      }
     }
   }
 
