Arrays with a deadline go by the latest start that meets it; Placer is split up

Change: among work of one rank the latest start that meets the strictest deadline in reach (of those that the users' aims name) decides; what can meet none goes behind, and in front again in time to begin within the four minutes that the users ask for. The time counts from when a leader learned of a job.

Placer (803 lines) becomes JobRanking, TurnOrder, MachineSearch, MachineScore, Preemption, RoundRoom, ImageFetch and PlacementRules, without a change of what they do. Aims are typed.

--- a/src/main/java/eiderfork/config/Settings.java
+++ b/src/main/java/eiderfork/config/Settings.java
@@ -30,8 +30,49 @@
     }
   }
 
-  /** An aim of the users: {@code kind} is "wait" or "finished". */
-  public record Objective(String kind, String jobClass, double withinS, double share) {}
+  /**
+   * An aim of the users for a class of jobs.
+   *
+   * @param withinS the time that waiting or finishing may take; 0 for other kinds
+   * @param times how many times their deadline jobs may take; 1 for other kinds
+   * @param share the part of the jobs or tasks that should be in time
+   */
+  public record Objective(Kind kind, String jobClass, double withinS, double times, double share) {
+    /** What an aim is about. */
+    public enum Kind {
+      /** How soon tasks start. */
+      WAIT,
+      /** How soon jobs are done. */
+      FINISHED,
+      /** Whether jobs are done within some times their own deadline. */
+      DEADLINE,
+      /** Anything else, which decides nothing here. */
+      OTHER
+    }
+  }
+
+  /** The shortest time of the users' aims of this kind for a class; the largest double for none. */
+  public double shortestAimS(Objective.Kind kind, String jobClass) {
+    double least = Double.MAX_VALUE;
+    for (Objective aim : objectives) {
+      if (aim.kind() == kind && aim.jobClass().equals(jobClass)) {
+        least = Math.min(least, aim.withinS());
+      }
+    }
+    return least;
+  }
+
+  /** How many times their deadline jobs of a class should take at most, the strictest first. */
+  public ImmutableList<Double> deadlineTimes(String jobClass) {
+    ImmutableList<Double> times =
+        objectives.stream()
+            .filter(aim -> aim.kind() == Objective.Kind.DEADLINE)
+            .filter(aim -> aim.jobClass().equals(jobClass))
+            .map(Objective::times)
+            .sorted()
+            .collect(ImmutableList.toImmutableList());
+    return times.isEmpty() ? ImmutableList.of(1.0) : times;
+  }
 
   /**
    * How often workers report, how long their leases last, and how soon cancelled tasks must end.
--- a/src/main/java/eiderfork/config/SettingsFile.java
+++ b/src/main/java/eiderfork/config/SettingsFile.java
@@ -140,15 +140,25 @@
     for (JsonNode objective : deployment.path("objectives")) {
       objectives.add(
           new Settings.Objective(
-              text(objective, at, "kind"),
+              kind(text(objective, at, "kind")),
               // An aim of the teams' guarantees speaks of no class.
               objective.path("class").asText(""),
               number(objective, at, "within_s", 0),
+              number(objective, at, "times", 1),
               number(objective, at, "share", 0)));
     }
     return objectives.build();
   }
 
+  private static Settings.Objective.Kind kind(String name) {
+    return switch (name) {
+      case "wait" -> Settings.Objective.Kind.WAIT;
+      case "finished" -> Settings.Objective.Kind.FINISHED;
+      case "deadline" -> Settings.Objective.Kind.DEADLINE;
+      default -> Settings.Objective.Kind.OTHER;
+    };
+  }
+
   /** Refuses figures that can't work together. */
   private void check(boolean works, String at, String name, String reason) throws BadSettings {
     if (!works) {
--- a/src/main/java/eiderfork/core/Cloud.java
+++ b/src/main/java/eiderfork/core/Cloud.java
@@ -448,7 +448,7 @@
     gate.send(
         new StateOp.Transact(
             ImmutableList.of(term.condition()),
-            ImmutableList.of(StateOp.Change.put(Keys.TYPES, Placer.typesRecord(fleet)))),
+            ImmutableList.of(StateOp.Change.put(Keys.TYPES, fleet.typesRecord()))),
         Urgency.DONE,
         reply -> typesStored = reply instanceof Reply.Committed);
   }
--- a/src/main/java/eiderfork/core/Drain.java
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -162,7 +162,7 @@
         && job.allowsType(to.kind.type())
         && (job.spot() || !to.kind.spot())
         && to.left.shareOf(to.room) <= from.left.shareOf(from.room)
-        && placer.imageWaitS(job, to.machine) <= context.paceS();
+        && placer.imageFetch().waitS(job, to.machine) <= context.paceS();
   }
 
   private void empty(MachineEntry m) {
--- a/src/main/java/eiderfork/core/Fleet.java
+++ b/src/main/java/eiderfork/core/Fleet.java
@@ -5,6 +5,7 @@
 import eiderfork.model.HostEntry;
 import eiderfork.model.Machine;
 import eiderfork.model.MachineType;
+import eiderfork.model.Record;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -60,6 +61,11 @@
     machines.values().forEach(this::fillRoom);
   }
 
+  /** The machine types as the state service holds them. */
+  Record.Types typesRecord() {
+    return new Record.Types(types.values().asList());
+  }
+
   MachineType type(MachineEntry m) {
     return m.machine == null ? null : types.get(m.machine.type());
   }
--- /dev/null
+++ b/src/main/java/eiderfork/core/MachineSearch.java
@@ -0,0 +1,107 @@
+package eiderfork.core;
+
+import eiderfork.model.Resources;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * The search for machines for the tasks of one job. They are all alike, so each machine is looked
+ * at once, and again only after it has taken a task.
+ */
+final class MachineSearch {
+  private record Found(MachineEntry machine, double score, int order) {}
+
+  /** How many machines a sample has for each task. */
+  private static final int SAMPLE = 8;
+
+  private final RoundRoom room;
+  private final MachineScore score;
+  private final JobEntry entry;
+  private final Map<String, Integer> perZone;
+  private final PriorityQueue<Found> found =
+      new PriorityQueue<>(Comparator.comparingDouble(Found::score).thenComparingInt(Found::order));
+
+  /** Not every machine was looked at, so that nothing found is no proof of no room. */
+  final boolean sampled;
+
+  /** Zones in which some machine has room for a task. */
+  private final Set<String> roomy = new HashSet<>();
+
+  /**
+   * @param random draws the sample
+   * @param mostLooks past this many looks in a round only a sample of the machines is searched
+   * @param believe whether what other jobs' searches proved holds for this one; room that was
+   *     claimed for it is not in that
+   */
+  MachineSearch(
+      RoundRoom room,
+      MachineScore score,
+      RandomGenerator random,
+      double mostLooks,
+      JobEntry entry,
+      Map<String, Integer> perZone,
+      boolean believe) {
+    this.room = room;
+    this.score = score;
+    this.entry = entry;
+    this.perZone = perZone;
+    Set<String> open = room.openZones(entry, perZone);
+    if (believe) {
+      open.removeIf(zone -> room.proved().knows(entry.job, zone));
+    }
+    if (open.isEmpty()) {
+      sampled = false;
+      return;
+    }
+    List<MachineEntry> all = room.machines();
+    int sample = SAMPLE * entry.waiting.cardinality();
+    sampled = room.looks() > mostLooks && all.size() > sample;
+    if (sampled) {
+      for (int i = 0; i < sample; i++) {
+        Collections.swap(all, i, i + random.nextInt(all.size() - i));
+      }
+      all = all.subList(0, sample);
+    }
+    for (int i = 0; i < all.size(); i++) {
+      look(all.get(i), i);
+    }
+    if (!sampled) {
+      open.stream().filter(z -> !roomy.contains(z)).forEach(z -> room.proved().note(entry.job, z));
+    }
+  }
+
+  private void look(MachineEntry m, int order) {
+    room.look();
+    Resources left = room.of(m);
+    if (!entry.job.need().fitsIn(left) || !PlacementRules.kindAllowed(entry.job, m)) {
+      return;
+    }
+    roomy.add(m.zone());
+    if (room.allowed(entry, m, perZone)) {
+      found.add(new Found(m, score.of(entry, m, left), order));
+    }
+  }
+
+  /** The best machine for one more task, or null where none fits. */
+  MachineEntry best() {
+    // A zone that is full for this job stays so, since its tasks only grow in number.
+    while (!found.isEmpty()
+        && !(room.allowed(entry, found.peek().machine, perZone)
+            && entry.job.need().fitsIn(room.of(found.peek().machine)))) {
+      found.remove();
+    }
+    return found.isEmpty() ? null : found.peek().machine;
+  }
+
+  /** The best machine has taken a task. */
+  void taken() {
+    Found best = found.remove();
+    look(best.machine, best.order);
+  }
+}
--- a/src/main/java/eiderfork/core/Packing.java
+++ b/src/main/java/eiderfork/core/Packing.java
@@ -1,6 +1,6 @@
 package eiderfork.core;
 
-import eiderfork.config.Settings;
+import eiderfork.config.Settings.Objective;
 import eiderfork.model.Job;
 import eiderfork.model.MachineType;
 import java.util.List;
@@ -154,12 +154,9 @@
   private double cost(Job job, MachineType type, boolean spot, int fits) {
     double fetchS = job.imageGb() / type.fetchGbPerS();
     double cost = type.price(spot) / fits;
-    for (Settings.Objective aim : context.settings.objectives()) {
-      if (aim.jobClass().equals(job.jobClass())
-          && aim.kind().equals("wait")
-          && fetchS > aim.withinS()) {
-        cost *= SLOW_FETCH_FACTOR;
-      }
+    double waitS = context.settings.shortestAimS(Objective.Kind.WAIT, job.jobClass());
+    if (fetchS > waitS) {
+      cost *= SLOW_FETCH_FACTOR;
     }
     return cost;
   }
@@ -169,6 +166,6 @@
     return job.allowsType(kind.type())
         && job.allowsZone(kind.zone())
         && (job.spot() || !kind.spot())
-        && Placer.zoneTakes(job, kind.zone(), perZone, zoneMost);
+        && PlacementRules.zoneTakes(job, kind.zone(), perZone, zoneMost);
   }
 }
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -224,7 +224,7 @@
   private void pack(JobEntry entry, Packing packing, Map<String, Resources> used) {
     Job job = entry.job;
     Team team = context.settings.teams().get(job.team());
-    Map<String, Integer> perZone = Placer.zonesOf(entry);
+    Map<String, Integer> perZone = PlacementRules.zonesOf(entry);
     int tasks = entry.waiting.cardinality();
     Packing.Cursor cursor = new Packing.Cursor();
     for (int i = 0; i < tasks; i++) {
@@ -259,7 +259,7 @@
     for (MachineEntry m : doubtful) {
       for (Placed p : m.placed) {
         if (p.wanted()) {
-          Map<String, Integer> perZone = Placer.zonesOf(p.job);
+          Map<String, Integer> perZone = PlacementRules.zonesOf(p.job);
           perZone.merge(m.zone(), -1, Integer::sum);
           packing.put(p.job.job, new Packing.Cursor(), perZone, p.job.job.perZone());
         }
--- /dev/null
+++ b/src/main/java/eiderfork/core/Preemption.java
@@ -0,0 +1,315 @@
+package eiderfork.core;
+
+import com.google.common.collect.ImmutableSet;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Priority;
+import eiderfork.model.Resources;
+import eiderfork.model.TaskReport;
+import it.unimi.dsi.fastutil.objects.Reference2ObjectOpenHashMap;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Makes room for services that find none: stops tasks of less urgent arrays, or moves replicas that
+ * fit elsewhere, whichever costs least. What is freed is claimed for the job.
+ */
+final class Preemption {
+  private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
+
+  /** How long a replica is away while it moves, in paces. */
+  private static final double MOVE_PACES = 2;
+
+  /** How many runs of a task its job's deadline is worth when it is decided which one to stop. */
+  private static final double LATE_RUNS = 4;
+
+  /** How long room is claimed for a job while what holds it stops, in paces. */
+  private static final int CLAIM_PACES = 5;
+
+  /** How long a replica has to run before it may move, in paces. */
+  private static final int MOVABLE_PACES = 10;
+
+  /** What a job needs for which no room could be made in a zone. */
+  private record Hopeless(
+      Resources need,
+      Priority priority,
+      ImmutableSet<String> types,
+      boolean spot,
+      String zone,
+      String image) {}
+
+  /** What stopping some tasks of a machine would cost. */
+  private record Option(MachineEntry machine, List<Placed> victims, double loss, int order) {}
+
+  private record Victim(Placed placed, double loss) {}
+
+  private final Context context;
+  private final RoundRoom room;
+  private final ImageFetch imageFetch;
+  private final GpuBalance balance;
+  private final Deadlines deadlines;
+  private final double mostLooks;
+  private final List<MachineEntry> machines;
+
+  /** What moved replicas will take where they go; it only guards against moving too many. */
+  private final Map<MachineEntry, Resources> filling = new HashMap<>();
+
+  /** The same for the option that is being looked at. */
+  private final Map<MachineEntry, Resources> trying = new HashMap<>();
+
+  /**
+   * For replicas of a shape, zone by zone, the first machine that may take one more of them; those
+   * before it are full for good.
+   */
+  private final Map<Shape, Map<String, int[]>> firstOpen = new Reference2ObjectOpenHashMap<>();
+
+  private final Set<Hopeless> hopeless = new HashSet<>();
+
+  /** Looks at a machine for this; past the bound on a search no more room is made in a round. */
+  private int sought;
+
+  /** Whether arrays may be stopped, and not only replicas moved. */
+  private boolean mayStop;
+
+  /**
+   * @param mostLooks past this many looks at machines no more room is made in this round
+   */
+  Preemption(
+      Context context,
+      RoundRoom room,
+      ImageFetch imageFetch,
+      GpuBalance balance,
+      Deadlines deadlines,
+      double mostLooks) {
+    this.context = context;
+    this.room = room;
+    this.imageFetch = imageFetch;
+    this.balance = balance;
+    this.deadlines = deadlines;
+    this.mostLooks = mostLooks;
+    machines = room.machines();
+  }
+
+  /** How many looks at machines were taken for this. */
+  int sought() {
+    return sought;
+  }
+
+  /**
+   * For how many tasks room was found, on machines where the image comes within {@code imageS}. For
+   * a better place than there is, only replicas are moved: what an array has done is worth more.
+   * Each machine is looked at once for a job, and again only when it is chosen.
+   */
+  int makeRoom(JobEntry entry, int wanted, Map<String, Integer> perZone, double imageS) {
+    Job job = entry.job;
+    if (job.kind() == JobKind.ARRAY || wanted == 0 || sought > mostLooks) {
+      return 0;
+    }
+    mayStop = imageS == Double.MAX_VALUE;
+    Set<String> open = room.openZones(entry, perZone);
+    open.removeIf(zone -> hopeless.contains(hopeless(job, zone)));
+    if (open.isEmpty()) {
+      return 0;
+    }
+    PriorityQueue<Option> options =
+        new PriorityQueue<>(
+            Comparator.comparingDouble(Option::loss).thenComparingInt(Option::order));
+    for (int i = 0; i < machines.size(); i++) {
+      MachineEntry m = machines.get(i);
+      if (open.contains(m.zone())
+          && room.allowed(entry, m, perZone)
+          && imageFetch.waitS(job, m) <= imageS) {
+        add(options, option(job, m, i));
+      }
+    }
+    for (int made = 0; made < wanted; made++) {
+      Option best = best(entry, options, perZone);
+      if (best == null) {
+        note(entry, open, perZone);
+        return made;
+      }
+      trying.forEach((m, needs) -> filling.merge(m, needs, Resources::plus));
+      for (Placed p : best.victims) {
+        LOG.info("stopping {} on {} for {}", p.id(), best.machine.name, job.uid());
+        p.stopping = true;
+        best.machine.urgent = true;
+      }
+      room.claim(
+          new RoundRoom.Claim(entry, best.machine, context.nowMs + CLAIM_PACES * context.paceMs()));
+      perZone.merge(best.machine.zone(), 1, Integer::sum);
+      add(options, option(job, best.machine, best.order));
+    }
+    return wanted;
+  }
+
+  private Hopeless hopeless(Job job, String zone) {
+    return new Hopeless(
+        job.need(),
+        job.priority(),
+        job.types(),
+        job.spot(),
+        zone,
+        mayStop ? null : job.image() + " in time");
+  }
+
+  /** In none of the zones that would take one more task can room be made. */
+  private void note(JobEntry entry, Set<String> open, Map<String, Integer> perZone) {
+    if (!entry.failedOn.isEmpty()) {
+      return;
+    }
+    open.retainAll(room.openZones(entry, perZone));
+    open.forEach(zone -> hopeless.add(hopeless(entry.job, zone)));
+  }
+
+  private static void add(PriorityQueue<Option> options, Option option) {
+    if (option != null) {
+      options.add(option);
+    }
+  }
+
+  /** The cheapest option as it is now; the room that moves need may be taken meanwhile. */
+  private Option best(JobEntry entry, PriorityQueue<Option> options, Map<String, Integer> perZone) {
+    while (!options.isEmpty()) {
+      Option top = options.remove();
+      if (!room.allowed(entry, top.machine, perZone)) {
+        continue;
+      }
+      Option now = option(entry.job, top.machine, top.order);
+      if (now != null && (options.isEmpty() || now.loss <= options.peek().loss)) {
+        return now;
+      }
+      add(options, now);
+    }
+    return null;
+  }
+
+  /** The tasks to stop on a machine so that one of {@code job} fits, or null. */
+  private Option option(Job job, MachineEntry m, int order) {
+    sought++;
+    room.look();
+    trying.clear();
+    Resources left = room.of(m);
+    List<Victim> able = new ArrayList<>();
+    for (Placed p : m.placed) {
+      if (!p.wanted()) {
+        left = left.plus(p.job.job.need());
+      } else if (p.committed) {
+        double loss = loss(job, p);
+        if (loss < Double.MAX_VALUE) {
+          able.add(new Victim(p, loss));
+        }
+      }
+    }
+    if (job.need().fitsIn(left)) {
+      return new Option(m, List.of(), 0, order);
+    }
+    able.sort(Comparator.comparingDouble(Victim::loss));
+    List<Victim> victims = new ArrayList<>();
+    for (Victim v : able) {
+      if (job.need().fitsIn(left)) {
+        break;
+      }
+      if (killable(job, v.placed) || moveTarget(v.placed)) {
+        left = left.plus(v.placed.job.job.need());
+        victims.add(v);
+      }
+    }
+    if (!job.need().fitsIn(left)) {
+      return null;
+    }
+    // Those taken first may not be needed beside those taken last.
+    for (Victim v : List.copyOf(victims)) {
+      Resources without = left.minus(v.placed.job.job.need());
+      if (job.need().fitsIn(without)) {
+        left = without;
+        victims.remove(v);
+      }
+    }
+    double loss = 0;
+    List<Placed> stopped = new ArrayList<>();
+    for (Victim v : victims) {
+      loss += v.loss;
+      stopped.add(v.placed);
+    }
+    return new Option(m, stopped, loss, order);
+  }
+
+  private boolean killable(Job job, Placed p) {
+    return mayStop
+        && p.job.job.kind() == JobKind.ARRAY
+        && p.job.job.priority().compareTo(job.priority()) > 0;
+  }
+
+  /** Whether a replica finds room on another machine; takes that room. */
+  private boolean moveTarget(Placed p) {
+    Job job = p.job.job;
+    String zone = p.machine.zone();
+    int[] first =
+        firstOpen
+            .computeIfAbsent(p.job.shape, shape -> new HashMap<>())
+            .computeIfAbsent(zone, z -> new int[1]);
+    for (int i = first[0]; i < machines.size(); i++) {
+      MachineEntry m = machines.get(i);
+      sought++;
+      room.look();
+      Resources left = room.of(m).minus(filling.getOrDefault(m, Resources.NONE));
+      if (!m.zone().equals(zone)
+          || !PlacementRules.kindAllowed(job, m)
+          || !takesMoved(job, left)
+          || imageFetch.waitS(job, m) > context.paceS()) {
+        if (i == first[0]) {
+          first[0]++;
+        }
+        continue;
+      }
+      if (m != p.machine && takesMoved(job, left.minus(trying.getOrDefault(m, Resources.NONE)))) {
+        trying.merge(m, job.need(), Resources::plus);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean takesMoved(Job job, Resources left) {
+    return job.need().fitsIn(left) && balance.strandedBy(job.need(), left) <= 0;
+  }
+
+  /** What stopping this task throws away, in seconds of its work weighted by its size. */
+  private double loss(Job job, Placed p) {
+    Job its = p.job.job;
+    double weight =
+        Math.max(
+            its.need().gpus(),
+            balance.cpusPerGpu() > 0 ? its.need().cpus() / balance.cpusPerGpu() : 1);
+    if (killable(job, p)) {
+      if (p.seen != TaskReport.State.RUNNING || p.runningSinceMs == 0) {
+        return 0;
+      }
+      double ranS = (context.nowMs - p.runningSinceMs) / 1000.0;
+      double lostS = its.checkpointS() > 0 ? Math.min(ranS, its.checkpointS()) : ranS;
+      return lostS * weight;
+    }
+    // Replicas on GPUs stay where there is no room at all: what moving them makes is taken from
+    // smaller jobs that wait as well. They move for an image that would come too late, once they
+    // have run for long enough to count as started.
+    boolean gpusMove =
+        !mayStop
+            && its.priority().compareTo(job.priority()) > 0
+            && context.nowMs - p.runningSinceMs > Drain.SETTLED_MS;
+    boolean movable =
+        its.kind() == JobKind.SERVICE
+            && (its.need().gpus() <= 0 || gpusMove)
+            && p.seen == TaskReport.State.RUNNING
+            && its.need().shareOf(p.machine.room) < job.need().shareOf(p.machine.room)
+            && context.nowMs - p.runningSinceMs > MOVABLE_PACES * context.paceMs();
+    return movable ? MOVE_PACES * context.paceS() * weight : Double.MAX_VALUE;
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/core/TurnOrder.java
@@ -0,0 +1,65 @@
+package eiderfork.core;
+
+import eiderfork.config.Settings.Objective;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import java.util.OptionalLong;
+
+/**
+ * When a job's turn is among those of its rank, as a moment: the earlier, the sooner it is served.
+ *
+ * <p>Services go in the order of their arrival. Work with a deadline goes by the latest moment at
+ * which it may start to be in time (earliest deadline first, less the run and the image). What
+ * can't be in time any more goes behind what can, but not for ever.
+ */
+final class TurnOrder {
+  /** The share of the time it has that an array may yield to smaller ones of its rank. */
+  private static final double YIELD_SHARE = 0.5;
+
+  /** The time, by the users, in which the largest jobs must have begun whatever their chances. */
+  private static final long MUST_BEGIN_MS = 240_000;
+
+  /** The share of that time after which a late job that never started goes before all others. */
+  private static final double LATE_TURN_SHARE = 0.6;
+
+  /** Longer than any job lives: what is put off by this comes behind all others of its rank. */
+  private static final long BEHIND_ALL_MS = 1L << 50;
+
+  private final Context context;
+  private final Deadlines deadlines;
+
+  TurnOrder(Context context, Deadlines deadlines) {
+    this.context = context;
+    this.deadlines = deadlines;
+  }
+
+  /**
+   * @param mostTasks the most tasks that any array has waiting
+   */
+  long turnMs(JobEntry entry, int mostTasks) {
+    Job job = entry.job;
+    if (job.kind() == JobKind.SERVICE) {
+      return entry.sinceMs;
+    }
+    // Small arrays are sooner done, and a larger one loses less by waiting for them.
+    double size = entry.waiting.cardinality() / (double) mostTasks;
+    if (job.deadlineS() == null) {
+      double aimS = context.settings.shortestAimS(Objective.Kind.FINISHED, job.jobClass());
+      double yieldS = aimS == Double.MAX_VALUE ? 0 : aimS * YIELD_SHARE;
+      return entry.sinceMs + (job.kind() == JobKind.ARRAY ? toMs(yieldS * size) : 0);
+    }
+    OptionalLong latestStartMs = deadlines.latestStartMs(entry);
+    if (latestStartMs.isPresent()) {
+      return latestStartMs.getAsLong();
+    }
+    // Late work that never began has a right to begin; what has begun may wait for longer.
+    boolean begun = entry.lastAttempt > 0;
+    double waitMostMs = MUST_BEGIN_MS * (begun ? 1 : LATE_TURN_SHARE);
+    boolean waitedLongEnough = context.nowMs - entry.sinceMs >= waitMostMs;
+    return entry.sinceMs + (waitedLongEnough ? 0 : BEHIND_ALL_MS);
+  }
+
+  private static long toMs(double seconds) {
+    return (long) (seconds * 1000);
+  }
+}
--- /dev/null
+++ b/src/test/java/eiderfork/core/TurnOrderTest.java
@@ -0,0 +1,161 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.config.Settings;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.MachineType;
+import eiderfork.model.Priority;
+import eiderfork.model.Resources;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** In which order work of one rank is served. */
+class TurnOrderTest {
+  private static final long START_MS = 1_000_000;
+
+  private final Context context = new Context(settings(), new Random(1), START_MS);
+  private final StateGate gate = new StateGate(context);
+  private final JobBook jobs = new JobBook(context, gate, null);
+  private final Fleet fleet = new Fleet(context, jobs);
+  private final Deadlines deadlines = new Deadlines(context, fleet);
+  private final JobRanking ranking = new JobRanking(context, deadlines);
+
+  TurnOrderTest() {
+    fleet.types(
+        ImmutableList.of(
+            new MachineType(
+                "g4", new Resources(16, 4, 64), 50, 2, 8, 3, 4, ImmutableList.of("a"))));
+  }
+
+  /** The users want arrays done by their deadline, and nearly all by 1.5 times that. */
+  private static Settings settings() {
+    Settings base = World.settings("roost-0");
+    return new Settings(
+        base.node(),
+        base.zone(),
+        base.listen(),
+        base.peerListen(),
+        base.peers(),
+        base.peerZones(),
+        base.cloud(),
+        base.state(),
+        base.teams(),
+        ImmutableList.of(
+            new Settings.Objective(Settings.Objective.Kind.DEADLINE, "batch", 0, 1.5, 0.975),
+            new Settings.Objective(Settings.Objective.Kind.DEADLINE, "batch", 0, 1, 0.9)),
+        base.workers(),
+        base.stateLimits(),
+        base.cloudLimits(),
+        base.controller(),
+        base.operator());
+  }
+
+  /** An array whose image of 20 GB takes 10 s to fetch. */
+  private JobEntry array(int number, int tasks, double estimateS, Double deadlineS) {
+    Job like =
+        World.job(number, JobKind.ARRAY, tasks, 1, "blue", Priority.HIGH, false, false, "img", 20);
+    Job job =
+        new Job(
+            like.uid(),
+            like.jobClass(),
+            like.team(),
+            like.kind(),
+            like.priority(),
+            tasks,
+            like.need(),
+            null,
+            null,
+            false,
+            false,
+            false,
+            like.image(),
+            like.imageGb(),
+            estimateS,
+            0,
+            0,
+            deadlineS);
+    return jobs.add(job, number);
+  }
+
+  private List<JobEntry> ranked() {
+    return ranking.rank(jobs.active()).jobs();
+  }
+
+  @Test
+  void theLatestMomentToStartDecidesAndNotTheArrival() {
+    JobEntry patient = array(1, 4, 50, 300.0);
+    JobEntry urgent = array(2, 4, 50, 80.0);
+    JobEntry shortRun = array(3, 4, 10, 80.0);
+    assertEquals(List.of(urgent, shortRun, patient), ranked());
+  }
+
+  @Test
+  void whatCanNotBeInTimeGoesBehindWhatCan() {
+    JobEntry late = array(1, 4, 50, 30.0);
+    JobEntry inTime = array(2, 4, 50, 300.0);
+    assertEquals(List.of(inTime, late), ranked());
+  }
+
+  @Test
+  void aMissedDeadlineLeavesTheNextOfTheAims() {
+    JobEntry other = array(1, 4, 50, 200.0);
+    JobEntry first = array(2, 4, 50, 100.0);
+    context.nowMs = START_MS + 60_000;
+    // The deadline itself could be met by a start up to 40 s, 1.5 times it up to 90 s.
+    assertEquals(List.of(first, other), ranked());
+  }
+
+  /** Behind all others a late job would wait for ever where work keeps coming. */
+  @Test
+  void aLateJobThatNeverStartedGoesFirstInTimeToBeginWithinFourMinutes() {
+    JobEntry late = array(1, 4, 50, 40.0);
+    context.nowMs = START_MS + 150_000;
+    JobEntry fresh = array(2, 4, 50, 70.0);
+    assertEquals(List.of(late, fresh), ranked());
+  }
+
+  @Test
+  void arraysWithoutADeadlineGoByArrival() {
+    List<JobEntry> arrays = new ArrayList<>();
+    for (int i = 1; i <= 3; i++) {
+      arrays.add(array(i, 4, 50, null));
+      context.nowMs += 1000;
+    }
+    assertEquals(arrays, ranked());
+    JobEntry urgent = array(4, 4, 50, 61.0);
+    assertTrue(ranked().indexOf(urgent) > 0, "the older ones have waited for longer");
+  }
+
+  /** Spot machines that were taken back cost a fifth of the arrays their deadline. */
+  @Test
+  void workThatCanNotBeRunAgainInTimeIsToldFromTheRest() {
+    JobEntry patient = array(1, 4, 50, 200.0);
+    JobEntry tight = array(2, 4, 50, 100.0);
+    JobEntry free = array(3, 4, 50, null);
+    assertFalse(deadlines.leavesNoSecondRun(patient));
+    assertTrue(deadlines.leavesNoSecondRun(tight));
+    assertFalse(deadlines.leavesNoSecondRun(free));
+    context.nowMs = START_MS + 120_000;
+    assertTrue(deadlines.leavesNoSecondRun(patient));
+  }
+
+  @Test
+  void aTaskIsLateIfRunAgainOnlyWhereItIsInTimeNow() {
+    JobEntry entry = array(1, 1, 50, 100.0);
+    Placed p = new Placed(entry, 0, 1, fleet.known("n-1"));
+    p.runningSinceMs = START_MS + 20_000;
+    context.nowMs = START_MS + 40_000;
+    assertFalse(deadlines.lateIfRunAgain(p), "a run from now ends at 90 s");
+    context.nowMs = START_MS + 60_000;
+    assertTrue(deadlines.lateIfRunAgain(p), "a run from now ends at 110 s");
+    p.runningSinceMs = START_MS + 55_000;
+    assertFalse(deadlines.lateIfRunAgain(p), "it misses 100 s anyhow, and meets 150 s either way");
+  }
+}
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -197,8 +197,8 @@
         new Settings.Endpoint("10.2.0.1", 2379),
         ImmutableMap.of("red", new Team("red", 0, 0, 4, 10), "blue", new Team("blue", 0, 0, 0, 0)),
         ImmutableList.of(
-            new Settings.Objective("wait", "web", 5, 0.9),
-            new Settings.Objective("finished", "batch", 40, 0.9)),
+            new Settings.Objective(Settings.Objective.Kind.WAIT, "web", 5, 1, 0.9),
+            new Settings.Objective(Settings.Objective.Kind.FINISHED, "batch", 40, 1, 0.9)),
         workers,
         stateLimits,
         new Settings.CloudLimits(2, 4),
