Work without time for a second run goes to ordinary machines and is stopped last

DeputyTest: deputies that stand still or are refused, a lead that crosses a split, records written late or without an answer.

--- a/src/main/java/eiderfork/core/MachineScore.java
+++ b/src/main/java/eiderfork/core/MachineScore.java
@@ -33,7 +33,7 @@
     double stranded = balance.strandedBy(job.need(), free);
     double steps = Math.floor(imageFetch.waitS(job, m) / context.paceS());
     double fullness = free.minus(job.need()).shareOf(m.room);
-    boolean wrongKind = job.spot() && !m.machine.spot();
+    boolean wrongKind = job.spot() && m.machine.spot() == deadlines.leavesNoSecondRun(entry);
     return steps
         + fullness
         + Math.max(0, stranded) * STRANDED_STEPS
--- a/src/main/java/eiderfork/core/Preemption.java
+++ b/src/main/java/eiderfork/core/Preemption.java
@@ -295,7 +295,8 @@
       }
       double ranS = (context.nowMs - p.runningSinceMs) / 1000.0;
       double lostS = its.checkpointS() > 0 ? Math.min(ranS, its.checkpointS()) : ranS;
-      return lostS * weight;
+      double lateS = deadlines.lateIfRunAgain(p) ? its.estimateS() * LATE_RUNS : 0;
+      return (lostS + lateS) * weight;
     }
     // Replicas on GPUs stay where there is no room at all: what moving them makes is taken from
     // smaller jobs that wait as well. They move for an image that would come too late, once they
--- a/src/test/java/eiderfork/core/DeputyTest.java
+++ b/src/test/java/eiderfork/core/DeputyTest.java
@@ -190,6 +190,74 @@
     Outcome.allServed(world, jobs);
   }
 
+  private static List<String> nodesIn(World world, String zone) {
+    return world.all().stream()
+        .filter(node -> zone.equals((node.charAt(6) - '0') % 2 == 0 ? "a" : "b"))
+        .toList();
+  }
+
+  /** All nodes of the other zone stand still, and go on where leases and records are over. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 2000, 4000, 5000, 5500, 6000, 7000, 9000, 14_000, 20_000})
+  void rulesHoldWhereDeputiesStandStill(int afterMs) {
+    World world = world(6);
+    List<Job> jobs = spread(world, 4);
+    List<String> others = nodesIn(world, otherZone(world));
+    world.splitZones(70_000);
+    world.at(afterMs, () -> others.forEach(node -> world.freeze(node, 12_000 + afterMs)));
+    world.at(afterMs + 1000, () -> world.abort(jobs.get(0).uid()));
+    world.run(120);
+    Outcome.allServed(world, jobs);
+  }
+
+  /** The state service refuses the nodes of the other zone, before and after they stand in. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 2000, 4000, 5000, 5500, 6000, 7000, 9000, 14_000, 20_000})
+  void rulesHoldWhereTheStateServiceRefusesDeputies(int afterMs) {
+    World world = world(8);
+    List<Job> jobs = spread(world, 4);
+    List<String> others = nodesIn(world, otherZone(world));
+    world.splitZones(70_000);
+    world.at(afterMs, () -> others.forEach(node -> world.refuse(node, 25_000)));
+    world.at(afterMs + 1000, () -> world.abort(jobs.get(0).uid()));
+    world.run(120);
+    Outcome.allServed(world, jobs);
+  }
+
+  /** The lead goes to the other zone within a split, and back. */
+  @ParameterizedTest
+  @ValueSource(ints = {500, 3000, 5000, 6000, 8000, 10_000, 15_000})
+  void rulesHoldWhereTheLeadCrossesASplitAndComesBack(int afterMs) {
+    World world = world(9);
+    List<Job> jobs = spread(world, 4);
+    String there = otherZone(world);
+    List<String> here = nodesIn(world, there.equals("a") ? "b" : "a");
+    world.splitZones(60_000);
+    world.at(afterMs, () -> here.forEach(node -> world.crash(node, 6000)));
+    world.at(afterMs + 15_000, () -> nodesIn(world, there).forEach(n -> world.crash(n, 6000)));
+    world.at(afterMs + 2000, () -> world.abort(jobs.get(0).uid()));
+    world.run(120);
+    Outcome.allServed(world, jobs);
+  }
+
+  /** Answers of the state service are lost, or its transactions late, under a split. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void rulesHoldWhereRecordsOfDeputiesAreWrittenLateOrUnanswered(long seed) {
+    World world = world(seed);
+    List<Job> jobs = spread(world, 4);
+    world.lateWrites = seed % 2 == 0 ? 0.4 : 0;
+    world.lostAnswers = seed % 2 == 0 ? 0 : 0.4;
+    world.stateDelayMs = seed % 3 == 0 ? 60 : 0;
+    world.splitZones(15_000 + 2000 * seed);
+    world.at(1000 * seed, () -> world.abort(jobs.get(0).uid()));
+    world.run(60);
+    world.lateWrites = 0;
+    world.lostAnswers = 0;
+    world.run(50);
+    Outcome.allServed(world, jobs);
+  }
+
   /** A split that comes and goes: leases renewed by either side are never counted as lapsed. */
   @ParameterizedTest
   @MethodSource("seeds")
