Image waits count in quarters of the time that a class may wait

Change: for classes that may wait for less than four steps a quarter of that time is the step. What depends on the job alone is looked up once a search.

--- a/src/main/java/eiderfork/core/Deadlines.java
+++ b/src/main/java/eiderfork/core/Deadlines.java
@@ -2,6 +2,9 @@
 
 import eiderfork.model.Job;
 import eiderfork.model.MachineType;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 
 /**
@@ -14,6 +17,9 @@
   private final Context context;
   private final Fleet fleet;
 
+  /** How many times their deadline jobs of a class may take; looked up once. */
+  private final Map<String, List<Double>> timesByClass = new HashMap<>();
+
   Deadlines(Context context, Fleet fleet) {
     this.context = context;
     this.fleet = fleet;
@@ -28,7 +34,7 @@
     if (job.deadlineS() == null) {
       return OptionalLong.empty();
     }
-    for (double times : context.settings.deadlineTimes(job.jobClass())) {
+    for (double times : times(job)) {
       long latestMs = endMs(entry, times) - toMs(job.estimateS() + fetchS(job));
       if (latestMs >= context.nowMs) {
         return OptionalLong.of(latestMs);
@@ -53,7 +59,7 @@
     if (job.deadlineS() == null) {
       return false;
     }
-    for (double times : context.settings.deadlineTimes(job.jobClass())) {
+    for (double times : times(job)) {
       long leftMs = endMs(p.job, times) - toMs(job.estimateS());
       if (p.runningSinceMs <= leftMs) {
         return context.nowMs > leftMs;
@@ -62,6 +68,10 @@
     return false;
   }
 
+  private List<Double> times(Job job) {
+    return timesByClass.computeIfAbsent(job.jobClass(), context.settings::deadlineTimes);
+  }
+
   private static long endMs(JobEntry entry, double times) {
     return entry.sinceMs + toMs(times * entry.job.deadlineS());
   }
--- a/src/main/java/eiderfork/core/MachineScore.java
+++ b/src/main/java/eiderfork/core/MachineScore.java
@@ -1,39 +1,58 @@
 package eiderfork.core;
 
+import eiderfork.config.Settings.Objective;
 import eiderfork.model.Job;
 import eiderfork.model.Resources;
 
-/** How good a machine is for one more task of a job; the lower the better. */
+/**
+ * How good machines are for one more task of a job; the lower the better. Made anew for each
+ * search, so that what depends on the job alone is looked up once.
+ */
 final class MachineScore {
-  /** A stranded GPU weighs as much as an image wait of this many paces. */
+  /** A stranded GPU weighs as much as an image wait of this many steps. */
   private static final double STRANDED_STEPS = 100;
 
-  private final Context context;
+  /**
+   * The least image wait that counts, as a share of the time in which the job's tasks should start.
+   */
+  private static final double STEP_SHARE = 0.25;
+
   private final ImageFetch imageFetch;
   private final GpuBalance balance;
-  private final Deadlines deadlines;
+  private final Job job;
+
+  /** Machines of the kind that the job should leave to others, spot or ordinary. */
+  private final boolean avoidsSpot;
+
+  private final double stepS;
 
-  MachineScore(Context context, ImageFetch imageFetch, GpuBalance balance, Deadlines deadlines) {
-    this.context = context;
+  MachineScore(
+      Context context,
+      ImageFetch imageFetch,
+      GpuBalance balance,
+      Deadlines deadlines,
+      JobEntry entry) {
     this.imageFetch = imageFetch;
     this.balance = balance;
-    this.deadlines = deadlines;
+    job = entry.job;
+    avoidsSpot = deadlines.leavesNoSecondRun(entry);
+    double waitS = context.settings.shortestAimS(Objective.Kind.WAIT, job.jobClass());
+    stepS = Math.min(context.paceS(), waitS * STEP_SHARE);
   }
 
   /**
    * First counts how many GPUs the task would leave without the processors that GPU work takes,
-   * then how long the image keeps it waiting, in steps of a pace, then what the machine has left.
-   * Work that may use spot machines leaves the others to the rest, unless a machine that is taken
-   * back would cost it its deadline: then it leaves the spot machines to what has more time.
+   * then how long the image keeps it waiting, in steps, then what the machine has left. Work that
+   * may use spot machines leaves the others to the rest, unless a machine that is taken back would
+   * cost it its deadline: then it leaves the spot machines to what has more time.
    *
    * @param free what the machine has left before the task
    */
-  double of(JobEntry entry, MachineEntry m, Resources free) {
-    Job job = entry.job;
+  double of(MachineEntry m, Resources free) {
     double stranded = balance.strandedBy(job.need(), free);
-    double steps = Math.floor(imageFetch.waitS(job, m) / context.paceS());
+    double steps = Math.floor(imageFetch.waitS(job, m) / stepS);
     double fullness = free.minus(job.need()).shareOf(m.room);
-    boolean wrongKind = job.spot() && m.machine.spot() == deadlines.leavesNoSecondRun(entry);
+    boolean wrongKind = job.spot() && m.machine.spot() == avoidsSpot;
     return steps
         + fullness
         + Math.max(0, stranded) * STRANDED_STEPS
--- a/src/main/java/eiderfork/core/MachineSearch.java
+++ b/src/main/java/eiderfork/core/MachineSearch.java
@@ -84,7 +84,7 @@
     }
     roomy.add(m.zone());
     if (room.allowed(entry, m, perZone)) {
-      found.add(new Found(m, score.of(entry, m, left), order));
+      found.add(new Found(m, score.of(m, left), order));
     }
   }
 
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -47,8 +47,6 @@
   /** Of the jobs that {@link #ranked} last saw. */
   private GpuBalance balance = GpuBalance.NONE;
 
-  private MachineScore score;
-
   Placer(Context context, Term term, StateGate gate, JobBook jobs, Fleet fleet, Workers workers) {
     this.context = context;
     this.term = term;
@@ -104,7 +102,6 @@
       }
     }
     room.renewClaims(context.nowMs);
-    score = new MachineScore(context, imageFetch, balance, deadlines);
     Preemption preemption =
         new Preemption(context, room, imageFetch, balance, deadlines, fullSearchLooks);
     for (JobEntry entry : ranked) {
@@ -173,6 +170,7 @@
     List<Placed> proposed = new ArrayList<>();
     long attempt = Math.max(entry.lastAttempt, entry.committed.lastAttempt()) + 1;
     AllocSize size = entry.size();
+    MachineScore score = new MachineScore(context, imageFetch, balance, deadlines, entry);
     MachineSearch search =
         new MachineSearch(
             room, score, context.random, fullSearchLooks, entry, perZone, own.isEmpty());
