--- a/src/main/java/eiderfork/cli/Commands.java
+++ b/src/main/java/eiderfork/cli/Commands.java
@@ -31,7 +31,7 @@
     CommandLine line = new CommandLine(new Commands());
     line.addSubcommand(new Serve());
     line.addSubcommand(new Check());
-    line.addSubcommand(new Rehearse());
+    line.addSubcommand(new TrainingCommand());
     line.setExecutionExceptionHandler(
         (e, parsed, result) -> {
           parsed.getErr().println(Main.complaint(e));
--- a/src/main/java/eiderfork/cli/Rehearse.java
+++ b/src/main/java/eiderfork/cli/TrainingCommand.java
@@ -1,18 +1,18 @@
 package eiderfork.cli;
 
-import eiderfork.net.Rehearsal;
+import eiderfork.net.TrainingRun;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 
-/** Used by the build: what a rehearsal loads goes into the class-data archive. */
+/** Used by the build: what a training run loads goes into the class-data archive. */
 @Command(
-    name = "rehearse",
+    name = "train",
     hidden = true,
     description = "Runs a controller against stand-ins on loopback for a moment.")
-final class Rehearse implements Callable<Integer> {
+final class TrainingCommand implements Callable<Integer> {
   @Override
   public Integer call() throws Exception {
-    Rehearsal.run();
+    TrainingRun.run();
     return 0;
   }
 }
--- a/src/main/java/eiderfork/core/Cancellations.java
+++ b/src/main/java/eiderfork/core/Cancellations.java
@@ -219,6 +219,6 @@
    */
   boolean mayRenew() {
     long sinceMs = Context.surely(context.nowMs - provenMs());
-    return sinceMs + Context.surely(context.leaseMs()) + context.paceMs() / 2 < context.cancelMs();
+    return sinceMs + Context.surely(context.leaseMs()) + context.stepMs() / 2 < context.cancelMs();
   }
 }
--- a/src/main/java/eiderfork/core/Cloud.java
+++ b/src/main/java/eiderfork/core/Cloud.java
@@ -23,8 +23,8 @@
   /** The share of the cloud's limit that is used, so that a clock's drift never exceeds it. */
   private static final double RATE_SHARE = 0.9;
 
-  /** How long the cloud may take over a call, in paces. */
-  private static final int TIMEOUT_PACES = 5;
+  /** How long the cloud may take over a call, in steps. */
+  private static final int TIMEOUT_STEPS = 5;
 
   /** Prices move slowly; they are read again after this many lags of the list. */
   private static final int TYPES_LAGS = 8;
@@ -104,7 +104,7 @@
   }
 
   private Backoff backoff() {
-    return new Backoff(context.paceMs(), context.listLagMs());
+    return new Backoff(context.stepMs(), context.listLagMs());
   }
 
   void clear() {
@@ -319,7 +319,7 @@
   }
 
   private long timeoutMs() {
-    return context.paceMs() * TIMEOUT_PACES;
+    return context.stepMs() * TIMEOUT_STEPS;
   }
 
   private void ask(Return it) {
--- a/src/main/java/eiderfork/core/Context.java
+++ b/src/main/java/eiderfork/core/Context.java
@@ -59,12 +59,12 @@
    * that a worker waits for an answer, and half of what a user waits for one to a poll. Where it
    * hung on the report interval, an interval of 4 s had users and workers wait past their time.
    */
-  long paceMs() {
+  long stepMs() {
     return Math.min(reportMs(), ANSWER_MS / 4);
   }
 
-  double paceS() {
-    return paceMs() / 1000.0;
+  double stepS() {
+    return stepMs() / 1000.0;
   }
 
   long leaseMs() {
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -27,8 +27,8 @@
 public final class Controller implements Term.Listener {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
 
-  /** Ticks in a pace: the finest grain of anything timed. */
-  private static final int TICKS_PER_PACE = 20;
+  /** Ticks in a step: the finest grain of anything timed. */
+  private static final int TICKS_PER_STEP = 20;
 
   /** Cancellations come first: no worker's lease is renewed before they are known. */
   private static final String[] REBUILT_FROM = {
@@ -38,17 +38,17 @@
   private final Context context;
   private final StateGate gate;
   private final Term term;
-  private final JobBook jobs;
+  private final JobTable jobs;
   private final Fleet fleet;
-  private final Workers workers;
+  private final WorkerControl workers;
   private final Placer placer;
   private final Cloud cloud;
   private final Planner planner;
   private final Peers peers;
-  private final Fence fence;
+  private final ReadBarrier readBarrier;
   private final Cancellations cancellations;
-  private final Deputy deputy;
-  private final Users users;
+  private final LeaseProxy leaseProxy;
+  private final UserRequests users;
 
   private boolean rebuilt;
   private boolean roundWanted;
@@ -77,19 +77,21 @@
     context = new Context(settings, random, nowMs);
     gate = new StateGate(context);
     term = new Term(context, gate, this);
-    jobs = new JobBook(context, gate, term);
+    jobs = new JobTable(context, gate, term);
     fleet = new Fleet(context, jobs);
     cancellations = new Cancellations(context, this::cancelled);
     peers = new Peers(context, term, cancellations);
-    deputy = new Deputy(context, gate, term, peers, cancellations);
+    leaseProxy = new LeaseProxy(context, gate, term, peers, cancellations);
     workers =
-        new Workers(
-            context, term, jobs, fleet, cancellations, peers, this::readDeputed, this::kick);
+        new WorkerControl(
+            context, term, jobs, fleet, cancellations, peers, this::readProxied, this::kick);
     placer = new Placer(context, term, gate, jobs, fleet, workers);
     cloud = new Cloud(context, term, gate, fleet);
     planner = new Planner(context, gate, jobs, fleet, workers, cloud, placer);
-    fence = new Fence(context, gate, this::changed, cancellations::caughtUp);
-    users = new Users(context, term, gate, jobs, fleet, planner, fence, cancellations, this::kick);
+    readBarrier = new ReadBarrier(context, gate, this::changed, cancellations::caughtUp);
+    users =
+        new UserRequests(
+            context, term, gate, jobs, fleet, planner, readBarrier, cancellations, this::kick);
   }
 
   /** Takes one input at {@code nowMs} of a steady clock, and says what follows from it. */
@@ -125,17 +127,17 @@
 
   /** How often the controller wants a tick. */
   public long tickMs() {
-    return Math.max(1, context.paceMs() / TICKS_PER_PACE);
+    return Math.max(1, context.stepMs() / TICKS_PER_STEP);
   }
 
   /** How many looks at a machine the last round and the last plan took. */
-  int looks() {
-    return placer.looks() + planner.looks();
+  int examined() {
+    return placer.examined() + planner.examined();
   }
 
   /** How many looks at a machine the last round took. */
-  int placementLooks() {
-    return placer.looks();
+  int placementExamined() {
+    return placer.examined();
   }
 
   private void user(long ticket, Input request, boolean passOn) {
@@ -164,14 +166,14 @@
     }
   }
 
-  /** How many machines report here, counted once in half a pace. */
+  /** How many machines report here, counted once in half a step. */
   private int heard() {
-    if (context.nowMs - heardCountedMs >= context.paceMs() / 2) {
+    if (context.nowMs - heardCountedMs >= context.stepMs() / 2) {
       heardCountedMs = context.nowMs;
       heardMs.values().removeIf(at -> context.nowMs - at > workers.silentMs());
     }
     // Machines that have to be answered here don't need this node to lead.
-    return Math.max(0, heardMs.size() - deputy.machines());
+    return Math.max(0, heardMs.size() - leaseProxy.machineCount());
   }
 
   /** What this node tells of itself to a peer. */
@@ -187,7 +189,7 @@
 
   /** A node that neither the state service nor any peer answers is cut off, and of no use. */
   private void health(long ticket) {
-    boolean served = gate.servedAgeMs() <= 2 * context.paceMs();
+    boolean served = gate.servedAgeMs() <= 2 * context.stepMs();
     boolean healthy = served || peers.anyReached();
     context.emit(
         new Effect.AnswerHealth(
@@ -201,8 +203,8 @@
     jobs.tick();
     peers.tick(this::view);
     users.tick();
-    deputy.retry();
-    deputy.tick();
+    leaseProxy.retry();
+    leaseProxy.tick();
     List<Runnable> due = List.copyOf(again);
     again.clear();
     due.forEach(Runnable::run);
@@ -211,7 +213,7 @@
       if (rebuilt && term.sure()) {
         cloud.tick();
         if (context.nowMs >= nextPlanMs && !fleet.types().isEmpty()) {
-          nextPlanMs = context.nowMs + context.paceMs();
+          nextPlanMs = context.nowMs + context.stepMs();
           planner.plan();
           roundWanted = true;
         }
@@ -234,12 +236,12 @@
     }
   }
 
-  /** Workers that can't reach this leader, but can reach a peer, need that peer to lead. */
+  /** WorkerControl that can't reach this leader, but can reach a peer, need that peer to lead. */
   private void resignIfUnheard() {
     if (context.nowMs < deafCheckMs) {
       return;
     }
-    deafCheckMs = context.nowMs + context.paceMs();
+    deafCheckMs = context.nowMs + context.stepMs();
     int known = 0;
     int heard = 0;
     for (MachineEntry m : fleet.machines()) {
@@ -258,9 +260,9 @@
     heardMs.put(report.machine().name(), context.nowMs);
     if (term.leading() && cancellations.mayRenew()) {
       workers.report(ticket, report);
-    } else if (deputy.takes(report) && deputy.ready(report)) {
-      deputy.answer(ticket, report);
-    } else if (deputy.takes(report) || mayCome()) {
+    } else if (leaseProxy.mayAnswer(report) && leaseProxy.ready(report)) {
+      leaseProxy.answer(ticket, report);
+    } else if (leaseProxy.mayAnswer(report) || mayCome()) {
       parked.add(new Parked(ticket, report, context.nowMs));
     } else {
       redirect(ticket, report);
@@ -277,7 +279,7 @@
 
   private void redirect(long ticket, Report report) {
     String leader = term.leader();
-    deputy.sentAway(report);
+    leaseProxy.sentAway(report);
     context.emit(
         new Effect.RedirectWorker(ticket, context.settings.node().equals(leader) ? null : leader));
   }
@@ -286,7 +288,7 @@
   private record Parked(long ticket, Report report, long sinceMs) {}
 
   /**
-   * Answers the parked reports once a leader is known, or after a pace; after two where this node
+   * Answers the parked reports once a leader is known, or after a step; after two where this node
    * leads and catches up, or is to answer in the leader's place. A worker turned away without a
    * name tries the next node a second later, and after a crash of all nodes its lease has less than
    * that left.
@@ -294,13 +296,13 @@
   private void unpark() {
     for (Iterator<Parked> all = parked.iterator(); all.hasNext(); ) {
       Parked it = all.next();
-      boolean takes = deputy.takes(it.report);
-      long patienceMs = context.paceMs() * (takes || term.leading() ? 2 : 1);
+      boolean mayAnswer = leaseProxy.mayAnswer(it.report);
+      long graceMs = context.stepMs() * (mayAnswer || term.leading() ? 2 : 1);
       if (term.leading() && cancellations.mayRenew()) {
         workers.report(it.ticket, it.report);
-      } else if (takes && deputy.ready(it.report)) {
-        deputy.answer(it.ticket, it.report);
-      } else if ((takes || mayCome()) && context.nowMs - it.sinceMs < patienceMs) {
+      } else if (mayAnswer && leaseProxy.ready(it.report)) {
+        leaseProxy.answer(it.ticket, it.report);
+      } else if ((mayAnswer || mayCome()) && context.nowMs - it.sinceMs < graceMs) {
         continue;
       } else {
         redirect(it.ticket, it.report);
@@ -321,7 +323,7 @@
 
   @Override
   public void elected() {
-    deputy.stop();
+    leaseProxy.stop();
     forget();
     workers.elected();
     rebuild(0, term.number(), -1);
@@ -336,7 +338,7 @@
     rebuilt = false;
     again.clear();
     users.ready(false);
-    fence.stop();
+    readBarrier.stop();
     cancellations.forget();
     jobs.clear();
     fleet.clear();
@@ -352,7 +354,7 @@
   private void rebuild(int part, long number, long revision) {
     if (part == REBUILT_FROM.length) {
       rebuilt = true;
-      fence.start(revision);
+      readBarrier.start(revision);
       users.ready(true);
       jobs.noteImages(fleet);
       workers.rebuilt();
@@ -409,15 +411,15 @@
   }
 
   /** Reads which machines other nodes answer in this one's place; null where a record is spoilt. */
-  private void readDeputed(Consumer<Set<String>> then) {
+  private void readProxied(Consumer<Set<String>> then) {
     Set<String> names = new HashSet<>();
     boolean[] whole = {true};
     scan(
-        Keys.DEPUTY,
+        Keys.LEASE_PROXY,
         "",
         term.number(),
         (prefix, item) -> {
-          if (item.record() instanceof Record.Deputed it) {
+          if (item.record() instanceof Record.ProxiedLeases it) {
             names.addAll(it.machines());
           } else {
             whole[0] = false;
@@ -453,7 +455,7 @@
     long askedMs = context.nowMs;
     gate.send(
         // Short, so that a lost reply does not leave memory behind for long.
-        new StateOp.Watch(prefix, revision, 2 * context.paceMs()),
+        new StateOp.Watch(prefix, revision, 2 * context.stepMs()),
         Urgency.SUBMIT,
         reply -> {
           if (!still(number)) {
@@ -463,8 +465,8 @@
             changes.items().forEach(this::changed);
             if (prefix.equals(Keys.ABORT)) {
               cancellations.caughtUp(askedMs);
-              // The service forgets old changes; the fence asks after none that came before.
-              fence.start(changes.revision());
+              // The service forgets old changes; the readBarrier asks after none that came before.
+              readBarrier.start(changes.revision());
             }
             follow(prefix, number, changes.revision());
           } else if (reply instanceof Reply.Refused refused && refused.status() == 410) {
--- a/src/main/java/eiderfork/core/Deadlines.java
+++ b/src/main/java/eiderfork/core/Deadlines.java
@@ -54,7 +54,7 @@
   }
 
   /** Whether a running task is in time as it is, and would not be if it were run again from now. */
-  boolean lateIfRunAgain(Placed p) {
+  boolean lateIfRunAgain(Reservation p) {
     Job job = p.job.job;
     if (job.deadlineS() == null) {
       return false;
--- a/src/main/java/eiderfork/core/Drain.java
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -29,18 +29,18 @@
   /** A start that is undone before this time has passed does not count, by the protocol. */
   static final long SETTLED_MS = 30_000;
 
-  /** How long an emptying may take before the machine is used again, in paces. */
-  private static final int EMPTYING_PACES = 10;
+  /** How long an emptying may take before the machine is used again, in steps. */
+  private static final int EMPTYING_STEPS = 10;
 
   /** How many machines a plan tries to empty, the dearest for their tasks first. */
   private static final int TRIES = 8;
 
   private final Context context;
   private final Fleet fleet;
-  private final Workers workers;
+  private final WorkerControl workers;
   private final Placer placer;
 
-  Drain(Context context, Fleet fleet, Workers workers, Placer placer) {
+  Drain(Context context, Fleet fleet, WorkerControl workers, Placer placer) {
     this.context = context;
     this.fleet = fleet;
     this.workers = workers;
@@ -51,7 +51,7 @@
   void plan(List<Bin> bins, boolean growing) {
     boolean busy = false;
     for (MachineEntry m : fleet.machines()) {
-      if (m.draining && context.nowMs - m.drainingSinceMs > EMPTYING_PACES * context.paceMs()) {
+      if (m.draining && context.nowMs - m.drainingSinceMs > EMPTYING_STEPS * context.stepMs()) {
         // Something holds on to it; it is used again.
         m.draining = m.returning;
       }
@@ -110,7 +110,7 @@
         || bin.left.shareOf(bin.room) < 1 - MOST_USED) {
       return false;
     }
-    for (Placed p : m.placed) {
+    for (Reservation p : m.placed) {
       boolean settled =
           p.job.job.kind() == JobKind.SERVICE
               && p.committed
@@ -126,7 +126,7 @@
 
   private boolean fitsElsewhere(Bin from, List<Bin> bins) {
     Map<Bin, Resources> left = new HashMap<>();
-    for (Placed p : from.machine.placed) {
+    for (Reservation p : from.machine.placed) {
       Job job = p.job.job;
       Bin best = null;
       double bestLeft = 0;
@@ -135,7 +135,7 @@
         Resources room = left.getOrDefault(bin, bin.left);
         if (bin == from
             || !job.need().fitsIn(room)
-            || !takes(job, from, bin)
+            || !accepts(job, from, bin)
             || placer.gpuBalance().strandedBy(job.need(), room) > 0) {
           continue;
         }
@@ -154,7 +154,7 @@
   }
 
   /** In the same zone, so that no spread changes, and on a machine that is the fuller one. */
-  private boolean takes(Job job, Bin from, Bin to) {
+  private boolean accepts(Job job, Bin from, Bin to) {
     return to.machine != null
         && !to.machine.placed.isEmpty()
         && workers.usable(to.machine)
@@ -162,7 +162,7 @@
         && job.allowsType(to.kind.type())
         && (job.spot() || !to.kind.spot())
         && to.left.shareOf(to.room) <= from.left.shareOf(from.room)
-        && placer.imageFetch().waitS(job, to.machine) <= context.paceS();
+        && placer.imageFetch().waitS(job, to.machine) <= context.stepS();
   }
 
   private void empty(MachineEntry m) {
--- a/src/main/java/eiderfork/core/NoRoom.java
+++ b/src/main/java/eiderfork/core/FailedSearches.java
@@ -14,7 +14,7 @@
  * hundreds of jobs of a few sizes wait for a full fleet, and searches for each once took the whole
  * processor.
  */
-final class NoRoom {
+final class FailedSearches {
   /** The kinds of machine that were searched. */
   private record Where(ImmutableSet<String> types, boolean spot, String zone) {}
 
--- a/src/main/java/eiderfork/core/Fleet.java
+++ b/src/main/java/eiderfork/core/Fleet.java
@@ -20,7 +20,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
 
   private final Context context;
-  private final JobBook jobs;
+  private final JobTable jobs;
   private final Map<String, MachineEntry> machines = new LinkedHashMap<>();
 
   /** Machines that surely are gone; their late reports and list entries mean nothing. */
@@ -28,7 +28,7 @@
 
   private ImmutableMap<String, MachineType> types = ImmutableMap.of();
 
-  Fleet(Context context, JobBook jobs) {
+  Fleet(Context context, JobTable jobs) {
     this.context = context;
     this.jobs = jobs;
   }
@@ -101,7 +101,7 @@
 
   /** None of the tasks reserved on this machine is there any more, nor can they start. */
   void settleAll(MachineEntry m) {
-    for (Placed p : List.copyOf(m.placed)) {
+    for (Reservation p : List.copyOf(m.placed)) {
       jobs.release(p, false);
       m.remove(p);
     }
--- a/src/main/java/eiderfork/core/Forwards.java
+++ b/src/main/java/eiderfork/core/Forwards.java
@@ -8,16 +8,16 @@
 import java.util.function.Consumer;
 
 /**
- * Passes users' questions on to the leader, those of one tick in one request. Users ask after each
- * job every few seconds, so that questions are most of what a node is sent; passed on one by one
- * they took most of the processor of a fleet of a thousand jobs.
+ * Passes users' questions on to the leader, those of one tick in one request. UserRequests ask
+ * after each job every few seconds, so that questions are most of what a node is sent; passed on
+ * one by one they took most of the processor of a fleet of a thousand jobs.
  */
 final class Forwards {
   /** The most questions in a request; with the longest ids they stay far below 64 KiB. */
   private static final int MOST = 256;
 
-  /** How long a peer may take over what is passed on, in paces. */
-  static final double PACES = 0.5;
+  /** How long a peer may take over what is passed on, in steps. */
+  static final double STEPS = 0.5;
 
   private record Question(String uid, Consumer<UserAnswer> answer, Runnable here) {}
 
@@ -30,7 +30,7 @@
 
   /** How long a peer may take over what is passed on. */
   static long timeoutMs(Context context) {
-    return (long) (context.paceMs() * PACES);
+    return (long) (context.stepMs() * STEPS);
   }
 
   /** Passes a question on at the next tick; {@code here} is run where that brings no answer. */
@@ -60,9 +60,9 @@
         call -> new Effect.AskPeerQueries(call, leader, uids, timeoutMs(context)),
         reply -> {
           boolean all =
-              reply instanceof Reply.PeerAnsweredAll it && it.answers().size() == batch.size();
+              reply instanceof Reply.PeerAnswers it && it.answers().size() == batch.size();
           for (int i = 0; i < batch.size(); i++) {
-            UserAnswer said = all ? ((Reply.PeerAnsweredAll) reply).answers().get(i) : null;
+            UserAnswer said = all ? ((Reply.PeerAnswers) reply).answers().get(i) : null;
             if (said != null && said.status() != 503) {
               batch.get(i).answer.accept(said);
             } else {
--- a/src/main/java/eiderfork/core/JobEntry.java
+++ b/src/main/java/eiderfork/core/JobEntry.java
@@ -17,7 +17,7 @@
   final Job job;
 
   /** The same object for all jobs of this shape. */
-  final Shape shape;
+  final TaskProfile shape;
 
   /** Jobs of one rank go in the order in which the state service took them. */
   final long order;
@@ -56,14 +56,14 @@
   final Backoff writeBackoff;
 
   long lastAttempt;
-  final Int2ObjectSortedMap<Placed> placed = new Int2ObjectAVLTreeMap<>();
+  final Int2ObjectSortedMap<Reservation> placed = new Int2ObjectAVLTreeMap<>();
 
   /** Settled reservations whose settlement is not committed yet: not to be cleared. */
-  final Set<Placed> uncommitted = new LinkedHashSet<>();
+  final Set<Reservation> uncommitted = new LinkedHashSet<>();
 
   final BitSet finished = new BitSet();
 
-  /** Room was sought where the image comes in time; once is enough. */
+  /** Room was examined where the image comes in time; once is enough. */
   boolean soughtBetter;
 
   /** Tasks neither placed nor finished. */
@@ -75,7 +75,7 @@
   int failures;
   long notBeforeMs;
 
-  JobEntry(Job job, Shape shape, long order, long sinceMs, Backoff writeBackoff) {
+  JobEntry(Job job, TaskProfile shape, long order, long sinceMs, Backoff writeBackoff) {
     this.job = job;
     this.shape = shape;
     this.order = order;
@@ -115,7 +115,7 @@
 
   private int countRunning() {
     int n = 0;
-    for (Placed p : placed.values()) {
+    for (Reservation p : placed.values()) {
       if (p.seen != null && !p.seen.equals(eiderfork.model.TaskReport.State.ENDED)) {
         n++;
       }
@@ -152,7 +152,7 @@
       ranges++;
     }
     AllocSize size = new AllocSize(job.tasks(), ranges);
-    for (Placed p : placed.values()) {
+    for (Reservation p : placed.values()) {
       size.add(p.attempt, p.machine.name);
     }
     return size;
@@ -162,7 +162,7 @@
   Record.Alloc toRecord() {
     ImmutableList.Builder<Record.Span> spans = ImmutableList.builder();
     Record.Span open = null;
-    for (Placed p : placed.values()) {
+    for (Reservation p : placed.values()) {
       String machine = p.machine.name;
       if (open != null
           && open.to() == p.index - 1
--- a/src/main/java/eiderfork/core/JobBook.java
+++ b/src/main/java/eiderfork/core/JobTable.java
@@ -18,8 +18,8 @@
 import org.slf4j.LoggerFactory;
 
 /** The jobs of a leader, and the writing of their alloc records. */
-final class JobBook {
-  private static final Logger LOG = LoggerFactory.getLogger(JobBook.class);
+final class JobTable {
+  private static final Logger LOG = LoggerFactory.getLogger(JobTable.class);
 
   private final Context context;
   private final StateGate gate;
@@ -29,12 +29,12 @@
   /** Jobs that still have something to do, so that rounds skip the long past. */
   private final Map<String, JobEntry> active = new LinkedHashMap<>();
 
-  private final Map<Shape, Shape> shapes = new HashMap<>();
+  private final Map<TaskProfile, TaskProfile> shapes = new HashMap<>();
 
   /** Jobs of which a stored record can't be read. */
   private final Set<String> frozen = new HashSet<>();
 
-  JobBook(Context context, StateGate gate, Term term) {
+  JobTable(Context context, StateGate gate, Term term) {
     this.context = context;
     this.gate = gate;
     this.term = term;
@@ -83,8 +83,8 @@
     if (known != null) {
       return known;
     }
-    Backoff backoff = new Backoff(context.paceMs() / 5, context.paceMs() * 2);
-    Shape shape = shapes.computeIfAbsent(Shape.of(job), s -> s);
+    Backoff backoff = new Backoff(context.stepMs() / 5, context.stepMs() * 2);
+    TaskProfile shape = shapes.computeIfAbsent(TaskProfile.of(job), s -> s);
     JobEntry entry = new JobEntry(job, shape, order, context.nowMs, backoff);
     jobs.put(job.uid(), entry);
     active.put(job.uid(), entry);
@@ -103,7 +103,7 @@
     for (Record.Span span : alloc.reserved()) {
       MachineEntry machine = fleet.known(span.machine());
       for (int index = span.from(); index <= span.to(); index++) {
-        Placed p = new Placed(entry, index, span.attempt(), machine);
+        Reservation p = new Reservation(entry, index, span.attempt(), machine);
         p.committed = true;
         entry.placed.put(index, p);
         entry.waiting.clear(index);
@@ -149,7 +149,7 @@
     entry.aborted = true;
     entry.waiting.clear();
     entry.uncommitted.clear();
-    for (Placed p : List.copyOf(entry.placed.values())) {
+    for (Reservation p : List.copyOf(entry.placed.values())) {
       if (p.committed) {
         p.machine.urgent = true;
       } else if (!entry.writing) {
@@ -166,7 +166,7 @@
   }
 
   /** A reservation is settled: the task has ended, or surely is not on its machine any more. */
-  void release(Placed p, boolean done) {
+  void release(Reservation p, boolean done) {
     JobEntry entry = p.job;
     if (entry.placed.get(p.index) != p) {
       return;
@@ -183,7 +183,7 @@
       entry.waiting.set(p.index);
       if (entry.job.kind() == JobKind.GANG) {
         // The others can't go on without it; they start again together.
-        for (Placed other : entry.placed.values()) {
+        for (Reservation other : entry.placed.values()) {
           other.stopping = true;
           other.machine.urgent = true;
         }
@@ -194,12 +194,12 @@
   }
 
   /** Takes back a proposal of this round. */
-  void withdraw(Placed p) {
+  void withdraw(Reservation p) {
     drop(p);
     p.job.waiting.set(p.index);
   }
 
-  private static void drop(Placed p) {
+  private static void drop(Reservation p) {
     p.job.placed.remove(p.index);
     p.machine.remove(p);
   }
@@ -209,7 +209,7 @@
    * yet how it ended. A cleared attempt would start anew on a late repeat of its command.
    */
   boolean mustKeep(JobEntry entry, long attempt, int index) {
-    for (Placed p : entry.uncommitted) {
+    for (Reservation p : entry.uncommitted) {
       if (p.index == index && p.attempt == attempt) {
         return true;
       }
@@ -217,8 +217,8 @@
     return false;
   }
 
-  Placed propose(JobEntry entry, int index, long attempt, MachineEntry machine) {
-    Placed p = new Placed(entry, index, attempt, machine);
+  Reservation propose(JobEntry entry, int index, long attempt, MachineEntry machine) {
+    Reservation p = new Reservation(entry, index, attempt, machine);
     entry.lastAttempt = attempt;
     entry.placed.put(index, p);
     entry.waiting.clear(index);
@@ -230,13 +230,13 @@
   /** Writes what changed of a job, in one conditional write. */
   void write(JobEntry entry, Urgency urgency) {
     Record.Alloc record = entry.toRecord();
-    List<Placed> proposed = new ArrayList<>();
-    for (Placed p : entry.placed.values()) {
+    List<Reservation> proposed = new ArrayList<>();
+    for (Reservation p : entry.placed.values()) {
       if (!p.committed) {
         proposed.add(p);
       }
     }
-    List<Placed> settled = List.copyOf(entry.uncommitted);
+    List<Reservation> settled = List.copyOf(entry.uncommitted);
     entry.dirty = false;
     entry.writing = true;
     entry.ending = record.done();
@@ -247,8 +247,8 @@
   private void send(
       JobEntry entry,
       Record.Alloc record,
-      List<Placed> proposed,
-      List<Placed> settled,
+      List<Reservation> proposed,
+      List<Reservation> settled,
       Urgency urgency) {
     String uid = entry.job.uid();
     if (jobs.get(uid) != entry || !term.leading()) {
@@ -306,14 +306,14 @@
       JobEntry entry,
       Record.Alloc record,
       long version,
-      List<Placed> proposed,
-      List<Placed> settled) {
+      List<Reservation> proposed,
+      List<Reservation> settled) {
     entry.writing = false;
     entry.ending = false;
     entry.writeBackoff.reset();
     entry.committed = record;
     entry.allocVersion = version;
-    for (Placed p : proposed) {
+    for (Reservation p : proposed) {
       p.committed = true;
       if (entry.placed.get(p.index) == p) {
         p.machine.urgent = true;
@@ -333,8 +333,8 @@
       JobEntry entry,
       Reply.Conflict conflict,
       Record.Alloc record,
-      List<Placed> proposed,
-      List<Placed> settled,
+      List<Reservation> proposed,
+      List<Reservation> settled,
       Urgency urgency) {
     String uid = entry.job.uid();
     if (conflict.failed().contains(Keys.LEADER)) {
@@ -373,7 +373,7 @@
 
   /** Reservations that were never committed, of a job that was cancelled meanwhile. */
   private void dropUnsent(JobEntry entry) {
-    for (Placed p : List.copyOf(entry.placed.values())) {
+    for (Reservation p : List.copyOf(entry.placed.values())) {
       if (!p.committed) {
         drop(p);
       }
--- a/src/main/java/eiderfork/core/Keys.java
+++ b/src/main/java/eiderfork/core/Keys.java
@@ -10,7 +10,7 @@
   public static final String ABORT = "abort/";
   public static final String RENT = "rent/";
   public static final String RETURN = "return/";
-  public static final String DEPUTY = "deputy/";
+  public static final String LEASE_PROXY = "deputy/";
 
   private Keys() {}
 
--- a/src/main/java/eiderfork/core/Deputy.java
+++ b/src/main/java/eiderfork/core/LeaseProxy.java
@@ -19,15 +19,15 @@
  * Keeps the tasks of workers alive that can't reach the leader, while this node can reach the state
  * service: two zones that can't reach each other have lost all that ran in the leader's other zone.
  *
- * <p>A deputy renews leases under the token that a worker shows and gives no command but the end of
- * what was cancelled. Before it answers a worker, a record that names the machine stands in the
- * state service, on a lease that outlasts every lease that the deputy renews. The leader counts no
- * worker's lease as lapsed before it has read, after the lapse, that no such record names the
- * machine. So either it sees the record, or the deputy's first answer comes after the lapse and
- * renews a session that has nothing left of the one before.
+ * <p>A leaseProxy renews leases under the token that a worker shows and gives no command but the
+ * end of what was cancelled. Before it answers a worker, a record that names the machine stands in
+ * the state service, on a lease that outlasts every lease that the leaseProxy renews. The leader
+ * counts no worker's lease as lapsed before it has read, after the lapse, that no such record names
+ * the machine. So either it sees the record, or the leaseProxy's first answer comes after the lapse
+ * and renews a session that has nothing left of the one before.
  */
-final class Deputy {
-  private static final Logger LOG = LoggerFactory.getLogger(Deputy.class);
+final class LeaseProxy {
+  private static final Logger LOG = LoggerFactory.getLogger(LeaseProxy.class);
 
   /** The record's lease, in leases of workers; one that is renewed now has to fit within. */
   private static final int LIFE_LEASES = 3;
@@ -70,7 +70,7 @@
   /** When a worker was last sent to the leader from here, and where it came back. */
   private final Map<String, Long> sentAwayMs = new HashMap<>();
 
-  Deputy(Context context, StateGate gate, Term term, Peers peers, Cancellations cancellations) {
+  LeaseProxy(Context context, StateGate gate, Term term, Peers peers, Cancellations cancellations) {
     this.context = context;
     this.gate = gate;
     this.term = term;
@@ -78,7 +78,7 @@
     this.cancellations = cancellations;
     // A name of this process alone: a late write of an earlier one changes nothing of its records.
     prefix =
-        Keys.DEPUTY
+        Keys.LEASE_PROXY
             + context.settings.node()
             + "/"
             + Long.toHexString(context.random.nextLong())
@@ -91,7 +91,7 @@
    * worker has something to lose, stands in this zone, and the leader is out of reach from here: as
    * all of its zone is, or as the worker found that was sent there.
    */
-  boolean takes(Report report) {
+  boolean mayAnswer(Report report) {
     String name = report.machine().name();
     if (term.leading()
         || report.tasks().isEmpty()
@@ -112,7 +112,7 @@
     Long awayMs = sentAwayMs.get(name);
     boolean cameBack =
         awayMs != null
-            && context.nowMs - awayMs > context.paceMs()
+            && context.nowMs - awayMs > context.stepMs()
             && context.nowMs - awayMs < context.leaseMs();
     if (!named.contains(name) && !peers.apart(zone) && !cameBack) {
       return false;
@@ -126,7 +126,7 @@
 
   /** Whether the answer may go out now, to a worker that this node takes. */
   boolean ready(Report report) {
-    long endMs = context.nowMs + Context.surely(context.leaseMs()) + context.paceMs() / 2;
+    long endMs = context.nowMs + Context.surely(context.leaseMs()) + context.stepMs() / 2;
     return named.contains(report.machine().name())
         && endMs < leaseSureUntilMs
         && cancellations.mayRenew();
@@ -152,7 +152,7 @@
   }
 
   /** How many machines this node answers in the leader's place. */
-  int machines() {
+  int machineCount() {
     return named.size();
   }
 
@@ -187,7 +187,7 @@
     if (!active) {
       return;
     }
-    if (context.nowMs - answeredMs > Context.surely(context.leaseMs()) + context.paceMs()) {
+    if (context.nowMs - answeredMs > Context.surely(context.leaseMs()) + context.stepMs()) {
       LOG.info("no worker needs to be answered in the leader's place any more");
       if (lease != 0) {
         gate.send(new StateOp.Release(lease), Urgency.LEASE, reply -> {});
@@ -228,14 +228,14 @@
             wanted.addAll(named);
             named.clear();
           } else {
-            nextRenewMs = context.nowMs + context.paceMs() / 2;
+            nextRenewMs = context.nowMs + context.stepMs() / 2;
           }
         });
   }
 
   private void write() {
     writing = true;
-    nextWriteMs = context.nowMs + context.paceMs() / 2;
+    nextWriteMs = context.nowMs + context.stepMs() / 2;
     List<String> batch = new ArrayList<>();
     double leftBytes = context.settings.stateLimits().valueKb() * 1024 * VALUE_SHARE;
     for (String name : wanted) {
@@ -253,7 +253,8 @@
             // A key is written once, so that a late write takes no name away.
             ImmutableList.of(new StateOp.Condition(key, 0)),
             ImmutableList.of(
-                new StateOp.Change(key, new Record.Deputed(ImmutableList.copyOf(batch)), under))),
+                new StateOp.Change(
+                    key, new Record.ProxiedLeases(ImmutableList.copyOf(batch)), under))),
         Urgency.LEASE,
         reply -> {
           if (of != generation) {
@@ -304,7 +305,7 @@
   private void followCancellations(long of, long revision) {
     long askedMs = context.nowMs;
     gate.send(
-        new StateOp.Watch(Keys.ABORT, revision, 2 * context.paceMs()),
+        new StateOp.Watch(Keys.ABORT, revision, 2 * context.stepMs()),
         Urgency.LEASE,
         reply -> {
           if (of != generation) {
--- a/src/main/java/eiderfork/core/MachineEntry.java
+++ b/src/main/java/eiderfork/core/MachineEntry.java
@@ -22,7 +22,7 @@
   Resources room;
 
   /** What is reserved here; changed by {@link #add} and {@link #remove} alone. */
-  final Set<Placed> placed = new LinkedHashSet<>();
+  final Set<Reservation> placed = new LinkedHashSet<>();
 
   /** What the reservations take; kept, since rounds and plans ask for it at every machine. */
   private Resources taken = Resources.NONE;
@@ -43,7 +43,7 @@
   long answeredMs;
 
   /** When a record was last seen by which another node answers its worker; 0 for never. */
-  long deputedMs;
+  long proxiedMs;
 
   /** When anything last proved that the machine exists. */
   long aliveMs;
@@ -123,13 +123,13 @@
     room = type == null ? null : type.room();
   }
 
-  void add(Placed p) {
+  void add(Reservation p) {
     if (placed.add(p)) {
       taken = taken.plus(p.job.job.need());
     }
   }
 
-  void remove(Placed p) {
+  void remove(Reservation p) {
     if (placed.remove(p)) {
       // Nothing is left of sums of decimal amounts where nothing is left of what was added.
       taken = placed.isEmpty() ? Resources.NONE : taken.minus(p.job.job.need());
--- a/src/main/java/eiderfork/core/MachineScore.java
+++ b/src/main/java/eiderfork/core/MachineScore.java
@@ -24,7 +24,7 @@
   /** Machines of the kind that the job should leave to others, spot or ordinary. */
   private final boolean avoidsSpot;
 
-  private final double stepS;
+  private final double imageStepS;
 
   MachineScore(
       Context context,
@@ -37,7 +37,7 @@
     job = entry.job;
     avoidsSpot = deadlines.leavesNoSecondRun(entry);
     double waitS = context.settings.shortestAimS(Objective.Kind.WAIT, job.jobClass());
-    stepS = Math.min(context.paceS(), waitS * STEP_SHARE);
+    imageStepS = Math.min(context.stepS(), waitS * STEP_SHARE);
   }
 
   /**
@@ -50,7 +50,7 @@
    */
   double of(MachineEntry m, Resources free) {
     double stranded = balance.strandedBy(job.need(), free);
-    double steps = Math.floor(imageFetch.waitS(job, m) / stepS);
+    double steps = Math.floor(imageFetch.waitS(job, m) / imageStepS);
     double fullness = free.minus(job.need()).shareOf(m.room);
     boolean wrongKind = job.spot() && m.machine.spot() == avoidsSpot;
     return steps
--- a/src/main/java/eiderfork/core/MachineSearch.java
+++ b/src/main/java/eiderfork/core/MachineSearch.java
@@ -35,7 +35,7 @@
 
   /**
    * @param random draws the sample
-   * @param mostLooks past this many looks in a round only a sample of the machines is searched
+   * @param mostExamined past this many looks in a round only a sample of the machines is searched
    * @param believe whether what other jobs' searches proved holds for this one; room that was
    *     claimed for it is not in that
    */
@@ -43,7 +43,7 @@
       RoundRoom room,
       MachineScore score,
       RandomGenerator random,
-      double mostLooks,
+      double mostExamined,
       JobEntry entry,
       Map<String, Integer> perZone,
       boolean believe) {
@@ -53,7 +53,7 @@
     this.perZone = perZone;
     Set<String> open = room.openZones(entry, perZone);
     if (believe) {
-      open.removeIf(zone -> room.proved().knows(entry.job, zone));
+      open.removeIf(zone -> room.failedSearches().knows(entry.job, zone));
     }
     if (open.isEmpty()) {
       sampled = false;
@@ -61,7 +61,7 @@
     }
     List<MachineEntry> all = room.machines();
     int sample = SAMPLE * entry.waiting.cardinality();
-    sampled = room.looks() > mostLooks && all.size() > sample;
+    sampled = room.examined() > mostExamined && all.size() > sample;
     if (sampled) {
       for (int i = 0; i < sample; i++) {
         Collections.swap(all, i, i + random.nextInt(all.size() - i));
@@ -72,12 +72,14 @@
       look(all.get(i), i);
     }
     if (!sampled) {
-      open.stream().filter(z -> !roomy.contains(z)).forEach(z -> room.proved().note(entry.job, z));
+      open.stream()
+          .filter(z -> !roomy.contains(z))
+          .forEach(z -> room.failedSearches().note(entry.job, z));
     }
   }
 
   private void look(MachineEntry m, int order) {
-    room.look();
+    room.countExamined();
     Resources left = room.of(m);
     if (!entry.job.need().fitsIn(left) || !PlacementRules.kindAllowed(entry.job, m)) {
       return;
--- a/src/main/java/eiderfork/core/Packing.java
+++ b/src/main/java/eiderfork/core/Packing.java
@@ -29,7 +29,7 @@
   private final GpuBalance balance;
   private final List<Bin> bins;
   private final int knownBins;
-  private int looks;
+  private int examined;
 
   /**
    * @param bins the machines that may be counted on; bins for machines to rent are added at its end
@@ -54,8 +54,8 @@
   }
 
   /** How often a bin was looked at for a task. */
-  int looks() {
-    return looks;
+  int examined() {
+    return examined;
   }
 
   /**
@@ -97,7 +97,7 @@
       Job job, Cursor cursor, Map<String, Integer> perZone, int zoneMost) {
     for (; cursor.sparingGpus < bins.size(); cursor.sparingGpus++) {
       Bin bin = bins.get(cursor.sparingGpus);
-      if (takes(bin, job, perZone, zoneMost) && balance.strandedBy(job.need(), bin.left) <= 0) {
+      if (accepts(bin, job, perZone, zoneMost) && balance.strandedBy(job.need(), bin.left) <= 0) {
         return bin;
       }
     }
@@ -107,15 +107,15 @@
   private Bin firstFit(Job job, Cursor cursor, Map<String, Integer> perZone, int zoneMost) {
     for (; cursor.any < bins.size(); cursor.any++) {
       Bin bin = bins.get(cursor.any);
-      if (takes(bin, job, perZone, zoneMost)) {
+      if (accepts(bin, job, perZone, zoneMost)) {
         return bin;
       }
     }
     return null;
   }
 
-  private boolean takes(Bin bin, Job job, Map<String, Integer> perZone, int zoneMost) {
-    looks++;
+  private boolean accepts(Bin bin, Job job, Map<String, Integer> perZone, int zoneMost) {
+    examined++;
     return allowed(job, bin.kind, perZone, zoneMost) && job.need().fitsIn(bin.left);
   }
 
@@ -166,6 +166,6 @@
     return job.allowsType(kind.type())
         && job.allowsZone(kind.zone())
         && (job.spot() || !kind.spot())
-        && PlacementRules.zoneTakes(job, kind.zone(), perZone, zoneMost);
+        && PlacementRules.zoneAccepts(job, kind.zone(), perZone, zoneMost);
   }
 }
--- a/src/main/java/eiderfork/core/Peers.java
+++ b/src/main/java/eiderfork/core/Peers.java
@@ -7,7 +7,7 @@
 
 /** What the peers say of themselves, and what this node tells them. */
 final class Peers {
-  /** A ping each pace; this many may be missed before a peer counts as out of reach. */
+  /** A ping each step; this many may be missed before a peer counts as out of reach. */
   private static final double REACH_PINGS = 3;
 
   private record Seen(PeerView view, long atMs) {}
@@ -30,7 +30,7 @@
     this.cancellations = cancellations;
     // Election and first answers come before the first ping, which loads Avro: on a sliver of a
     // core that takes as long as the election.
-    nextMs = context.nowMs + context.paceMs() * 5 / 2;
+    nextMs = context.nowMs + context.stepMs() * 5 / 2;
   }
 
   /** Pings every peer that has answered the last ping, with what {@code view} tells it. */
@@ -38,7 +38,7 @@
     if (context.nowMs < nextMs) {
       return;
     }
-    nextMs = context.nowMs + context.paceMs();
+    nextMs = context.nowMs + context.stepMs();
     for (String node : context.settings.peers().keySet()) {
       if (asking.getOrDefault(node, false)) {
         continue;
@@ -47,10 +47,10 @@
       long askedMs = context.nowMs;
       PeerView own = view.apply(node);
       context.ask(
-          call -> new Effect.AskPeerPing(call, node, own, context.paceMs()),
+          call -> new Effect.AskPeerPing(call, node, own, context.stepMs()),
           reply -> {
             asking.put(node, false);
-            if (reply instanceof Reply.PeerSays says) {
+            if (reply instanceof Reply.PeerPong says) {
               heard(says.view());
               yielded(node, says.view());
               if (says.view().node().equals(node)) {
@@ -99,7 +99,7 @@
   }
 
   private boolean fresh(Seen it) {
-    return it != null && context.nowMs - it.atMs <= context.paceMs() * REACH_PINGS;
+    return it != null && context.nowMs - it.atMs <= context.stepMs() * REACH_PINGS;
   }
 
   /** Whether this peer has been heard lately. */
@@ -135,6 +135,6 @@
             it ->
                 fresh(it)
                     && it.view.machinesHeard() > count
-                    && it.view.stateAgeMs() < context.paceMs() * REACH_PINGS);
+                    && it.view.stateAgeMs() < context.stepMs() * REACH_PINGS);
   }
 }
--- a/src/main/java/eiderfork/core/PlacementRules.java
+++ b/src/main/java/eiderfork/core/PlacementRules.java
@@ -14,7 +14,7 @@
   /** How many tasks of a job each zone holds. */
   static Map<String, Integer> zonesOf(JobEntry entry) {
     Map<String, Integer> perZone = new HashMap<>();
-    for (Placed p : entry.placed.values()) {
+    for (Reservation p : entry.placed.values()) {
       String zone = p.machine.zone();
       perZone.merge(zone, 1, Integer::sum);
     }
@@ -25,7 +25,7 @@
    * Whether a zone may take one more task of a job. A new leader may know machines of reservations
    * by name only; those could be in any zone, and are counted in each.
    */
-  static boolean zoneTakes(Job job, String zone, Map<String, Integer> perZone, int most) {
+  static boolean zoneAccepts(Job job, String zone, Map<String, Integer> perZone, int most) {
     int unknown = perZone.getOrDefault(UNKNOWN_ZONE, 0);
     if (job.oneZone() && (unknown > 0 || !(perZone.isEmpty() || perZone.containsKey(zone)))) {
       return false;
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -18,10 +18,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(Placer.class);
 
   /** How many machines a whole core looks at in a second, for a job each; a low estimate. */
-  private static final double LOOKS_PER_CORE_S = 1_000_000;
+  private static final double EXAMINED_PER_CORE_S = 1_000_000;
 
   /**
-   * The share of a pace that the searches of a round may take; past it each further job looks at a
+   * The share of a step that the searches of a round may take; past it each further job looks at a
    * sample of machines only.
    */
   private static final double SEARCH_SHARE = 0.1;
@@ -29,9 +29,9 @@
   private final Context context;
   private final Term term;
   private final StateGate gate;
-  private final JobBook jobs;
+  private final JobTable jobs;
   private final Fleet fleet;
-  private final Workers workers;
+  private final WorkerControl workers;
   private final JobRanking ranking;
   private final ImageFetch imageFetch;
   private final Deadlines deadlines;
@@ -42,12 +42,18 @@
   /** Before this time no room is made, since making it has taken its share of the processor. */
   private long makeRoomNotBeforeMs;
 
-  private final double fullSearchLooks;
+  private final double fullSearchMost;
 
   /** Of the jobs that {@link #ranked} last saw. */
   private GpuBalance balance = GpuBalance.NONE;
 
-  Placer(Context context, Term term, StateGate gate, JobBook jobs, Fleet fleet, Workers workers) {
+  Placer(
+      Context context,
+      Term term,
+      StateGate gate,
+      JobTable jobs,
+      Fleet fleet,
+      WorkerControl workers) {
     this.context = context;
     this.term = term;
     this.gate = gate;
@@ -57,10 +63,10 @@
     deadlines = new Deadlines(context, fleet);
     ranking = new JobRanking(context, deadlines);
     imageFetch = new ImageFetch(context, fleet);
-    fullSearchLooks =
-        LOOKS_PER_CORE_S
+    fullSearchMost =
+        EXAMINED_PER_CORE_S
             * context.settings.controller().cpuShare()
-            * context.paceS()
+            * context.stepS()
             * SEARCH_SHARE;
   }
 
@@ -75,8 +81,8 @@
   }
 
   /** How many looks at a machine the last round took. */
-  int looks() {
-    return room.looks();
+  int examined() {
+    return room.examined();
   }
 
   /**
@@ -103,7 +109,7 @@
     }
     room.renewClaims(context.nowMs);
     Preemption preemption =
-        new Preemption(context, room, imageFetch, balance, deadlines, fullSearchLooks);
+        new Preemption(context, room, imageFetch, balance, deadlines, fullSearchMost);
     for (JobEntry entry : ranked) {
       int before = entry.placed.size();
       if (!mayNotWrite(entry) && mayPlace(entry)) {
@@ -118,7 +124,7 @@
     makeRoomNotBeforeMs =
         Math.max(
             makeRoomNotBeforeMs,
-            context.nowMs + (long) (preemption.sought() / fullSearchLooks * context.paceMs()));
+            context.nowMs + (long) (preemption.examined() / fullSearchMost * context.stepMs()));
     return left;
   }
 
@@ -138,13 +144,13 @@
   }
 
   private long collectMs() {
-    return (long) (context.paceMs() * context.settings.operator().roundShare());
+    return (long) (context.stepMs() * context.settings.operator().roundShare());
   }
 
   private boolean mayPlace(JobEntry entry) {
     return !entry.waiting.isEmpty()
         && context.nowMs >= entry.notBeforeMs
-        && gate.waitMs(Urgency.START) <= context.paceMs();
+        && gate.waitMs(Urgency.START) <= context.stepMs();
   }
 
   /** The jobs with something to do, the most urgent first. */
@@ -167,13 +173,13 @@
     }
     List<RoundRoom.Claim> own = room.takeClaims(entry);
     boolean noRoom = false;
-    List<Placed> proposed = new ArrayList<>();
+    List<Reservation> proposed = new ArrayList<>();
     long attempt = Math.max(entry.lastAttempt, entry.committed.lastAttempt()) + 1;
     AllocSize size = entry.size();
     MachineScore score = new MachineScore(context, imageFetch, balance, deadlines, entry);
     MachineSearch search =
         new MachineSearch(
-            room, score, context.random, fullSearchLooks, entry, perZone, own.isEmpty());
+            room, score, context.random, fullSearchMost, entry, perZone, own.isEmpty());
     for (int index = entry.waiting.nextSetBit(0);
         index >= 0;
         index = entry.waiting.nextSetBit(index + 1)) {
@@ -181,7 +187,7 @@
         break;
       }
       MachineEntry m = search.best();
-      if (m != null && !size.takes(attempt, m.name, context.settings.stateLimits().valueKb())) {
+      if (m != null && !size.fits(attempt, m.name, context.settings.stateLimits().valueKb())) {
         break;
       }
       if (m == null || (late(job, m) && waitsForBetter(entry, own, preemption, perZone))) {
@@ -206,12 +212,12 @@
       used = used.plus(job.need());
     }
     if (gang && !entry.waiting.isEmpty()) {
-      for (Placed p : proposed) {
+      for (Reservation p : proposed) {
         jobs.withdraw(p);
         room.giveBack(p.machine, job.need());
         used = used.minus(job.need());
       }
-      room.proved().clear();
+      room.failedSearches().clear();
     }
     usedByTeam.put(job.team(), used);
     int kept = Math.min(own.size(), entry.waiting.cardinality());
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -41,7 +41,7 @@
    * that: of a zone cut off for longer than two leases all machines were once given back. One that
    * has died is known from the cloud's list by then.
    */
-  private static final int PATIENCE_LEASES = 2;
+  private static final int SILENCE_LEASES = 2;
 
   /** A returned machine costs this long at least. */
   static final long MIN_CHARGE_MS = 60_000;
@@ -68,23 +68,23 @@
 
   private final Context context;
   private final StateGate gate;
-  private final JobBook jobs;
+  private final JobTable jobs;
   private final Fleet fleet;
-  private final Workers workers;
+  private final WorkerControl workers;
   private final Cloud cloud;
   private final Placer placer;
   private final Drain drain;
   private final Map<String, Arrivals> arrivals = new LinkedHashMap<>();
   private long arrivalsSinceMs;
   private long describeNextMs;
-  private int looks;
+  private int examined;
 
   Planner(
       Context context,
       StateGate gate,
-      JobBook jobs,
+      JobTable jobs,
       Fleet fleet,
-      Workers workers,
+      WorkerControl workers,
       Cloud cloud,
       Placer placer) {
     this.context = context;
@@ -111,8 +111,8 @@
   }
 
   /** How many looks at a machine the last plan took. */
-  int looks() {
-    return looks;
+  int examined() {
+    return examined;
   }
 
   void plan() {
@@ -128,9 +128,9 @@
       }
       pack(entry, packing, used);
     }
-    packDoubtful(packing);
+    packSuspected(packing);
     arrivals.values().forEach(a -> packHeadroom(a, packing));
-    looks = packing.looks();
+    examined = packing.examined();
     describe();
     rent(packing.toRent());
     drain.plan(packing.known(), !packing.toRent().isEmpty());
@@ -180,7 +180,7 @@
             text.append(name).append(" ").append(n[0]).append("+").append(n[1]).append(" "));
     LOG.info("fleet: {}", text);
     LOG.info("writes that went out: {}", gate.tellWaits());
-    LOG.info("looked at machines {} times to place, {} to plan", placer.looks(), looks);
+    LOG.info("looked at machines {} times to place, {} to plan", placer.examined(), examined);
   }
 
   private List<Bin> bins() {
@@ -241,23 +241,23 @@
    * Packs what stands on machines that have been silent for a while: it will want new places when
    * their leases lapse, and machines for that take a boot's time to come.
    */
-  private void packDoubtful(Packing packing) {
-    List<MachineEntry> doubtful = new ArrayList<>();
+  private void packSuspected(Packing packing) {
+    List<MachineEntry> suspected = new ArrayList<>();
     int live = 0;
     for (MachineEntry m : fleet.machines()) {
       if (m.report != null && !m.returning) {
         live++;
-        if (workers.doubtful(m)) {
-          doubtful.add(m);
+        if (workers.suspected(m)) {
+          suspected.add(m);
         }
       }
     }
-    if (doubtful.size() * 2 > live) {
+    if (suspected.size() * 2 > live) {
       // It is this node that is cut off.
       return;
     }
-    for (MachineEntry m : doubtful) {
-      for (Placed p : m.placed) {
+    for (MachineEntry m : suspected) {
+      for (Reservation p : m.placed) {
         if (p.wanted()) {
           Map<String, Integer> perZone = PlacementRules.zonesOf(p.job);
           perZone.merge(m.zone(), -1, Integer::sum);
@@ -333,8 +333,8 @@
           cloud.giveBackSilent(m, "it does not come up");
         }
       } else if (believe
-          && !workers.deputed(m)
-          && workers.silentForMs(m) > PATIENCE_LEASES * context.leaseMs() + bootMs) {
+          && !workers.proxied(m)
+          && workers.silentForMs(m) > SILENCE_LEASES * context.leaseMs() + bootMs) {
         cloud.giveBackSilent(m, "it is silent");
       } else if (believe && workers.heard(m) && workers.deaf(m) && deafTooLong(m)) {
         cloud.giveBack(m, "commands do not reach it");
@@ -365,7 +365,7 @@
   private boolean overdue(MachineEntry m, MachineType type, double boots) {
     return m.upMs > 0
         ? context.nowMs - m.upMs
-            > PATIENCE_LEASES * context.leaseMs() + (boots == FAILED_BOOT ? type.bootS() * 1000 : 0)
+            > SILENCE_LEASES * context.leaseMs() + (boots == FAILED_BOOT ? type.bootS() * 1000 : 0)
         : context.nowMs - m.sinceMs > type.bootS() * 1000 * boots;
   }
 
--- a/src/main/java/eiderfork/core/Preemption.java
+++ b/src/main/java/eiderfork/core/Preemption.java
@@ -25,17 +25,17 @@
 final class Preemption {
   private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
 
-  /** How long a replica is away while it moves, in paces. */
-  private static final double MOVE_PACES = 2;
+  /** How long a replica is away while it moves, in steps. */
+  private static final double MOVE_STEPS = 2;
 
   /** How many runs of a task its job's deadline is worth when it is decided which one to stop. */
   private static final double LATE_RUNS = 4;
 
-  /** How long room is claimed for a job while what holds it stops, in paces. */
-  private static final int CLAIM_PACES = 5;
+  /** How long room is claimed for a job while what holds it stops, in steps. */
+  private static final int CLAIM_STEPS = 5;
 
-  /** How long a replica has to run before it may move, in paces. */
-  private static final int MOVABLE_PACES = 10;
+  /** How long a replica has to run before it may move, in steps. */
+  private static final int MOVABLE_STEPS = 10;
 
   /** What a job needs for which no room could be made in a zone. */
   private record Hopeless(
@@ -47,16 +47,16 @@
       String image) {}
 
   /** What stopping some tasks of a machine would cost. */
-  private record Option(MachineEntry machine, List<Placed> victims, double loss, int order) {}
+  private record Option(MachineEntry machine, List<Reservation> victims, double loss, int order) {}
 
-  private record Victim(Placed placed, double loss) {}
+  private record Victim(Reservation placed, double loss) {}
 
   private final Context context;
   private final RoundRoom room;
   private final ImageFetch imageFetch;
   private final GpuBalance balance;
   private final Deadlines deadlines;
-  private final double mostLooks;
+  private final double mostExamined;
   private final List<MachineEntry> machines;
 
   /** What moved replicas will take where they go; it only guards against moving too many. */
@@ -69,18 +69,19 @@
    * For replicas of a shape, zone by zone, the first machine that may take one more of them; those
    * before it are full for good.
    */
-  private final Map<Shape, Map<String, int[]>> firstOpen = new Reference2ObjectOpenHashMap<>();
+  private final Map<TaskProfile, Map<String, int[]>> firstOpen =
+      new Reference2ObjectOpenHashMap<>();
 
   private final Set<Hopeless> hopeless = new HashSet<>();
 
   /** Looks at a machine for this; past the bound on a search no more room is made in a round. */
-  private int sought;
+  private int examined;
 
   /** Whether arrays may be stopped, and not only replicas moved. */
   private boolean mayStop;
 
   /**
-   * @param mostLooks past this many looks at machines no more room is made in this round
+   * @param mostExamined past this many looks at machines no more room is made in this round
    */
   Preemption(
       Context context,
@@ -88,19 +89,19 @@
       ImageFetch imageFetch,
       GpuBalance balance,
       Deadlines deadlines,
-      double mostLooks) {
+      double mostExamined) {
     this.context = context;
     this.room = room;
     this.imageFetch = imageFetch;
     this.balance = balance;
     this.deadlines = deadlines;
-    this.mostLooks = mostLooks;
+    this.mostExamined = mostExamined;
     machines = room.machines();
   }
 
   /** How many looks at machines were taken for this. */
-  int sought() {
-    return sought;
+  int examined() {
+    return examined;
   }
 
   /**
@@ -110,7 +111,7 @@
    */
   int makeRoom(JobEntry entry, int wanted, Map<String, Integer> perZone, double imageS) {
     Job job = entry.job;
-    if (job.kind() == JobKind.ARRAY || wanted == 0 || sought > mostLooks) {
+    if (job.kind() == JobKind.ARRAY || wanted == 0 || examined > mostExamined) {
       return 0;
     }
     mayStop = imageS == Double.MAX_VALUE;
@@ -137,13 +138,13 @@
         return made;
       }
       trying.forEach((m, needs) -> filling.merge(m, needs, Resources::plus));
-      for (Placed p : best.victims) {
+      for (Reservation p : best.victims) {
         LOG.info("stopping {} on {} for {}", p.id(), best.machine.name, job.uid());
         p.stopping = true;
         best.machine.urgent = true;
       }
       room.claim(
-          new RoundRoom.Claim(entry, best.machine, context.nowMs + CLAIM_PACES * context.paceMs()));
+          new RoundRoom.Claim(entry, best.machine, context.nowMs + CLAIM_STEPS * context.stepMs()));
       perZone.merge(best.machine.zone(), 1, Integer::sum);
       add(options, option(job, best.machine, best.order));
     }
@@ -193,12 +194,12 @@
 
   /** The tasks to stop on a machine so that one of {@code job} fits, or null. */
   private Option option(Job job, MachineEntry m, int order) {
-    sought++;
-    room.look();
+    examined++;
+    room.countExamined();
     trying.clear();
     Resources left = room.of(m);
     List<Victim> able = new ArrayList<>();
-    for (Placed p : m.placed) {
+    for (Reservation p : m.placed) {
       if (!p.wanted()) {
         left = left.plus(p.job.job.need());
       } else if (p.committed) {
@@ -234,7 +235,7 @@
       }
     }
     double loss = 0;
-    List<Placed> stopped = new ArrayList<>();
+    List<Reservation> stopped = new ArrayList<>();
     for (Victim v : victims) {
       loss += v.loss;
       stopped.add(v.placed);
@@ -242,14 +243,14 @@
     return new Option(m, stopped, loss, order);
   }
 
-  private boolean killable(Job job, Placed p) {
+  private boolean killable(Job job, Reservation p) {
     return mayStop
         && p.job.job.kind() == JobKind.ARRAY
         && p.job.job.priority().compareTo(job.priority()) > 0;
   }
 
   /** Whether a replica finds room on another machine; takes that room. */
-  private boolean moveTarget(Placed p) {
+  private boolean moveTarget(Reservation p) {
     Job job = p.job.job;
     String zone = p.machine.zone();
     int[] first =
@@ -258,19 +259,19 @@
             .computeIfAbsent(zone, z -> new int[1]);
     for (int i = first[0]; i < machines.size(); i++) {
       MachineEntry m = machines.get(i);
-      sought++;
-      room.look();
+      examined++;
+      room.countExamined();
       Resources left = room.of(m).minus(filling.getOrDefault(m, Resources.NONE));
       if (!m.zone().equals(zone)
           || !PlacementRules.kindAllowed(job, m)
-          || !takesMoved(job, left)
-          || imageFetch.waitS(job, m) > context.paceS()) {
+          || !acceptsMoved(job, left)
+          || imageFetch.waitS(job, m) > context.stepS()) {
         if (i == first[0]) {
           first[0]++;
         }
         continue;
       }
-      if (m != p.machine && takesMoved(job, left.minus(trying.getOrDefault(m, Resources.NONE)))) {
+      if (m != p.machine && acceptsMoved(job, left.minus(trying.getOrDefault(m, Resources.NONE)))) {
         trying.merge(m, job.need(), Resources::plus);
         return true;
       }
@@ -278,12 +279,12 @@
     return false;
   }
 
-  private boolean takesMoved(Job job, Resources left) {
+  private boolean acceptsMoved(Job job, Resources left) {
     return job.need().fitsIn(left) && balance.strandedBy(job.need(), left) <= 0;
   }
 
   /** What stopping this task throws away, in seconds of its work weighted by its size. */
-  private double loss(Job job, Placed p) {
+  private double loss(Job job, Reservation p) {
     Job its = p.job.job;
     double weight =
         Math.max(
@@ -310,7 +311,7 @@
             && (its.need().gpus() <= 0 || gpusMove)
             && p.seen == TaskReport.State.RUNNING
             && its.need().shareOf(p.machine.room) < job.need().shareOf(p.machine.room)
-            && context.nowMs - p.runningSinceMs > MOVABLE_PACES * context.paceMs();
-    return movable ? MOVE_PACES * context.paceS() * weight : Double.MAX_VALUE;
+            && context.nowMs - p.runningSinceMs > MOVABLE_STEPS * context.stepMs();
+    return movable ? MOVE_STEPS * context.stepS() * weight : Double.MAX_VALUE;
   }
 }
--- a/src/main/java/eiderfork/core/Fence.java
+++ b/src/main/java/eiderfork/core/ReadBarrier.java
@@ -11,7 +11,7 @@
  * a moment later, and an answer from memory in between would be older than what was told. One
  * request serves every question that waits.
  */
-final class Fence {
+final class ReadBarrier {
   private final Context context;
   private final StateGate gate;
   private final Consumer<Reply.Item> taker;
@@ -25,7 +25,8 @@
    * @param taker takes each cancellation
    * @param caughtUpTo takes the moment of which all cancellations have been taken
    */
-  Fence(Context context, StateGate gate, Consumer<Reply.Item> taker, LongConsumer caughtUpTo) {
+  ReadBarrier(
+      Context context, StateGate gate, Consumer<Reply.Item> taker, LongConsumer caughtUpTo) {
     this.context = context;
     this.gate = gate;
     this.taker = taker;
--- a/src/main/java/eiderfork/core/Reply.java
+++ b/src/main/java/eiderfork/core/Reply.java
@@ -51,14 +51,14 @@
   record Hosts(ImmutableList<HostEntry> entries, boolean more) implements Reply {}
 
   /** A worker's report, sent back for commands ({@code executed}) or instead of them. */
-  record WorkerSays(boolean executed, Report report) implements Reply {}
+  record WorkerAnswer(boolean executed, Report report) implements Reply {}
 
   /** A peer's view, in answer to a ping. */
-  record PeerSays(PeerView view) implements Reply {}
+  record PeerPong(PeerView view) implements Reply {}
 
   /** A peer's answer to a request that was passed on to it. */
-  record PeerAnswered(UserAnswer answer) implements Reply {}
+  record PeerAnswer(UserAnswer answer) implements Reply {}
 
   /** A peer's answers to queries that were passed on to it, in their order. */
-  record PeerAnsweredAll(ImmutableList<UserAnswer> answers) implements Reply {}
+  record PeerAnswers(ImmutableList<UserAnswer> answers) implements Reply {}
 }
--- a/src/main/java/eiderfork/core/Placed.java
+++ b/src/main/java/eiderfork/core/Reservation.java
@@ -5,7 +5,7 @@
 import eiderfork.model.TaskReport;
 
 /** A task's reservation on a machine, from the round that proposes it until it is settled. */
-final class Placed {
+final class Reservation {
   final JobEntry job;
   final int index;
   final long attempt;
@@ -28,7 +28,7 @@
   /** When the task was first seen running, 0 for not yet. */
   long runningSinceMs;
 
-  Placed(JobEntry job, int index, long attempt, MachineEntry machine) {
+  Reservation(JobEntry job, int index, long attempt, MachineEntry machine) {
     this.job = job;
     this.index = index;
     this.attempt = attempt;
--- a/src/main/java/eiderfork/core/RoundRoom.java
+++ b/src/main/java/eiderfork/core/RoundRoom.java
@@ -20,15 +20,15 @@
   private final Map<MachineEntry, Resources> free = new LinkedHashMap<>();
   private final Set<String> zones = new LinkedHashSet<>();
   private final List<Claim> claims = new ArrayList<>();
-  private final NoRoom proved = new NoRoom();
-  private int looks;
+  private final FailedSearches proved = new FailedSearches();
+  private int examined;
 
   /** Forgets the last round's room, but not its claims. */
   void clear() {
     free.clear();
     zones.clear();
     proved.clear();
-    looks = 0;
+    examined = 0;
   }
 
   /** Adds the room of a machine that may be used in this round. */
@@ -89,18 +89,18 @@
   }
 
   /** What searches of this round have proved to find no room. */
-  NoRoom proved() {
+  FailedSearches failedSearches() {
     return proved;
   }
 
   /** Counts a look at a machine for a job. */
-  void look() {
-    looks++;
+  void countExamined() {
+    examined++;
   }
 
   /** How often a machine was looked at for a job in this round. */
-  int looks() {
-    return looks;
+  int examined() {
+    return examined;
   }
 
   /** The zones that may take one more task of a job. */
@@ -108,7 +108,7 @@
     Job job = entry.job;
     Set<String> open = new LinkedHashSet<>();
     for (String zone : zones) {
-      if (job.allowsZone(zone) && PlacementRules.zoneTakes(job, zone, perZone, job.perZone())) {
+      if (job.allowsZone(zone) && PlacementRules.zoneAccepts(job, zone, perZone, job.perZone())) {
         open.add(zone);
       }
     }
@@ -124,6 +124,6 @@
     if (entry.failedOn.contains(m.name) && entry.failedOn.size() < free.size()) {
       return false;
     }
-    return PlacementRules.zoneTakes(job, m.zone(), perZone, job.perZone());
+    return PlacementRules.zoneAccepts(job, m.zone(), perZone, job.perZone());
   }
 }
--- a/src/main/java/eiderfork/core/StateGate.java
+++ b/src/main/java/eiderfork/core/StateGate.java
@@ -9,8 +9,8 @@
 
 /** The way to the state service: keeps its limits, the most urgent call first. */
 final class StateGate {
-  /** A slow answer takes a few hundred milliseconds; past this many paces it is lost. */
-  private static final double TIMEOUT_PACES = 1.5;
+  /** A slow answer takes a few hundred milliseconds; past this many steps it is lost. */
+  private static final double TIMEOUT_STEPS = 1.5;
 
   /** The leader's share of the common limit on writes; its peers divide the rest. */
   private static final double LEADER_WRITES = 0.85;
@@ -133,7 +133,7 @@
   }
 
   private void dispatch(Waiting waiting) {
-    long timeout = (long) (context.paceMs() * TIMEOUT_PACES);
+    long timeout = (long) (context.stepMs() * TIMEOUT_STEPS);
     if (waiting.op instanceof StateOp.Watch watch) {
       timeout += watch.waitMs();
     }
--- a/src/main/java/eiderfork/core/Term.java
+++ b/src/main/java/eiderfork/core/Term.java
@@ -33,16 +33,17 @@
   private static final int RENEWALS = 3;
 
   /**
-   * The share of the workers' lease that the leader's takes is of no more than this many paces.
-   * Users wait for a new leader as well as workers, and not longer where workers' leases are long.
+   * The share of the workers' lease that the leader's takes is of no more than this many steps.
+   * UserRequests wait for a new leader as well as workers, and not longer where workers' leases are
+   * long.
    */
-  private static final int MOST_PACES = 10;
+  private static final int MOST_STEPS = 10;
 
   /**
-   * How long a node that others should rather lead waits for one of them, in paces. It is far more
+   * How long a node that others should rather lead waits for one of them, in steps. It is far more
    * than a slow state service takes over an election, and less than workers' leases leave.
    */
-  private static final double YIELD_PACES = 1;
+  private static final double YIELD_STEPS = 1;
 
   /** How much of its lease a leader leaves unused, for slow clocks and late replies. */
   private static final double LEASE_MARGIN = 0.1;
@@ -74,7 +75,7 @@
     this.context = context;
     this.gate = gate;
     this.listener = listener;
-    long mostMs = Math.min(context.leaseMs(), MOST_PACES * context.paceMs());
+    long mostMs = Math.min(context.leaseMs(), MOST_STEPS * context.stepMs());
     leaseMs = (long) (mostMs * context.settings.operator().stateLeaseShare());
     backoff = new Backoff(leaseMs / 20, leaseMs / 4);
     nextMs = context.nowMs;
@@ -222,7 +223,7 @@
     if (vacantSinceMs < 0) {
       vacantSinceMs = context.nowMs;
     }
-    return yields && context.nowMs - vacantSinceMs < YIELD_PACES * context.paceMs();
+    return yields && context.nowMs - vacantSinceMs < YIELD_STEPS * context.stepMs();
   }
 
   /** Waits for the leader key to change. */
--- a/src/main/java/eiderfork/core/Users.java
+++ b/src/main/java/eiderfork/core/UserRequests.java
@@ -21,14 +21,14 @@
  * What users ask. The leader answers from memory while its lease surely holds; any other node
  * passes the request to the leader, and acts on the state service itself where that fails.
  */
-final class Users {
-  private static final Logger LOG = LoggerFactory.getLogger(Users.class);
+final class UserRequests {
+  private static final Logger LOG = LoggerFactory.getLogger(UserRequests.class);
 
   /**
-   * A request that would wait longer than this many paces for its turn at the state service is
+   * A request that would wait longer than this many steps for its turn at the state service is
    * refused at once, with the time after which to come back.
    */
-  private static final double WAIT_PACES = 0.8;
+  private static final double WAIT_STEPS = 0.8;
 
   /** When to ask again for a job of which a record can't be read: an operator has to act first. */
   private static final int RECORD_RETRY_S = 30;
@@ -36,10 +36,10 @@
   private final Context context;
   private final Term term;
   private final StateGate gate;
-  private final JobBook jobs;
+  private final JobTable jobs;
   private final Fleet fleet;
   private final Planner planner;
-  private final Fence fence;
+  private final ReadBarrier readBarrier;
   private final Cancellations cancellations;
   private final Runnable kick;
 
@@ -51,14 +51,14 @@
   private ImmutableMap<String, MachineType> storedTypes = ImmutableMap.of();
   private boolean ready;
 
-  Users(
+  UserRequests(
       Context context,
       Term term,
       StateGate gate,
-      JobBook jobs,
+      JobTable jobs,
       Fleet fleet,
       Planner planner,
-      Fence fence,
+      ReadBarrier readBarrier,
       Cancellations cancellations,
       Runnable kick) {
     this.context = context;
@@ -67,7 +67,7 @@
     this.jobs = jobs;
     this.fleet = fleet;
     this.planner = planner;
-    this.fence = fence;
+    this.readBarrier = readBarrier;
     this.cancellations = cancellations;
     this.kick = kick;
     forwards = new Forwards(context);
@@ -128,7 +128,7 @@
       context.ask(
           call -> new Effect.AskPeerRequest(call, leader, request, Forwards.timeoutMs(context)),
           reply -> {
-            if (reply instanceof Reply.PeerAnswered it && it.answer().status() != 503) {
+            if (reply instanceof Reply.PeerAnswer it && it.answer().status() != 503) {
               answer.accept(it.answer());
             } else {
               here(request, answer);
@@ -143,7 +143,7 @@
 
   /** Sends on what has gathered since the last tick. */
   void tick() {
-    fence.tick();
+    readBarrier.tick();
     forwards.tick(isPeer(term.leader()) ? term.leader() : null);
   }
 
@@ -260,7 +260,7 @@
   }
 
   private boolean refusedForWait(long waitMs, Consumer<UserAnswer> answer) {
-    if (waitMs <= context.paceMs() * WAIT_PACES) {
+    if (waitMs <= context.stepMs() * WAIT_STEPS) {
       return false;
     }
     int laterS = (int) Math.max(1, Math.ceil(waitMs / 1000.0));
@@ -319,7 +319,7 @@
     if (fromMemory() && entry != null && entry.over()) {
       answer.accept(UserAnswer.ok(entry.status()));
     } else if (fromMemory() && entry != null && !entry.ending) {
-      fence.pass(
+      readBarrier.pass(
           caughtUp -> {
             if (caughtUp && fromMemory() && jobs.get(uid) == entry && !entry.ending) {
               answer.accept(UserAnswer.ok(entry.status()));
--- a/src/main/java/eiderfork/core/Workers.java
+++ b/src/main/java/eiderfork/core/WorkerControl.java
@@ -20,25 +20,25 @@
  * The leader's dealings with workers: compares what is reserved with what is reported, and sends
  * the commands that bring the two together.
  */
-final class Workers {
-  private static final Logger LOG = LoggerFactory.getLogger(Workers.class);
+final class WorkerControl {
+  private static final Logger LOG = LoggerFactory.getLogger(WorkerControl.class);
 
   /** The term stands in the bits above these of a token, the per-worker sequence below. */
   static final int SEQUENCE_BITS = 24;
 
   /**
    * A machine is silent after the longest time between two of its reports, which is a quarter over
-   * the interval, and this many paces more, for a report that was lost or tried another node.
+   * the interval, and this many steps more, for a report that was lost or tried another node.
    */
   private static final double LONGEST_REPORTS = 1.25;
 
-  private static final double SILENT_PACES = 1.35;
+  private static final double SILENT_STEPS = 1.35;
 
   /** The share of a lease after which machines for the tasks of a silent one are planned. */
-  private static final double DOUBT_SHARE = 0.5;
+  private static final double SUSPECT_SHARE = 0.5;
 
-  /** The same where its whole zone can't be reached, for deputies take until then to begin. */
-  private static final double APART_DOUBT_SHARE = 0.75;
+  /** The same where its whole zone can't be reached, for lease proxies take until then to begin. */
+  private static final double APART_SUSPECT_SHARE = 0.75;
 
   /** Jobs that must fail on a machine, and end well elsewhere or not have run, to condemn it. */
   private static final int FAULTY_ERRORS = 2;
@@ -48,28 +48,28 @@
 
   private final Context context;
   private final Term term;
-  private final JobBook jobs;
+  private final JobTable jobs;
   private final Fleet fleet;
   private final Cancellations cancellations;
   private final Peers peers;
-  private final Consumer<Consumer<Set<String>>> readDeputed;
-  private boolean readingDeputed;
-  private long readDeputedNotBeforeMs;
+  private final Consumer<Consumer<Set<String>>> readProxied;
+  private boolean readingProxied;
+  private long readProxiedNotBeforeMs;
   private final Runnable kick;
   private boolean rebuilt;
   private long electedMs;
 
   /**
-   * @param readDeputed reads which machines other nodes answer in this one's place
+   * @param readProxied reads which machines other nodes answer in this one's place
    */
-  Workers(
+  WorkerControl(
       Context context,
       Term term,
-      JobBook jobs,
+      JobTable jobs,
       Fleet fleet,
       Cancellations cancellations,
       Peers peers,
-      Consumer<Consumer<Set<String>>> readDeputed,
+      Consumer<Consumer<Set<String>>> readProxied,
       Runnable kick) {
     this.context = context;
     this.term = term;
@@ -77,13 +77,13 @@
     this.fleet = fleet;
     this.cancellations = cancellations;
     this.peers = peers;
-    this.readDeputed = readDeputed;
+    this.readProxied = readProxied;
     this.kick = kick;
   }
 
   void elected() {
     rebuilt = false;
-    readingDeputed = false;
+    readingProxied = false;
     electedMs = context.nowMs;
   }
 
@@ -96,7 +96,7 @@
   }
 
   long silentMs() {
-    return (long) (context.reportMs() * LONGEST_REPORTS + context.paceMs() * SILENT_PACES);
+    return (long) (context.reportMs() * LONGEST_REPORTS + context.stepMs() * SILENT_STEPS);
   }
 
   /** Whether the worker takes this term's commands, so that no older leader can reach it. */
@@ -223,7 +223,7 @@
     for (TaskReport task : m.tasks()) {
       shown.put(task.attempt(), task);
     }
-    for (Placed p : List.copyOf(m.placed)) {
+    for (Reservation p : List.copyOf(m.placed)) {
       TaskReport task = shown.get(p.id());
       if (task == null) {
         absent(m, p);
@@ -246,7 +246,7 @@
     }
   }
 
-  private void absent(MachineEntry m, Placed p) {
+  private void absent(MachineEntry m, Reservation p) {
     if (!p.committed) {
       return;
     }
@@ -266,7 +266,7 @@
     }
   }
 
-  private void ended(MachineEntry m, Placed p, TaskReport task) {
+  private void ended(MachineEntry m, Reservation p, TaskReport task) {
     JobEntry job = p.job;
     switch (task.cause()) {
       case DONE -> {
@@ -288,12 +288,12 @@
           m.faulty = true;
         }
         job.notBeforeMs =
-            context.nowMs + (context.paceMs() << Math.min(5, Math.max(0, job.failures - 2)));
+            context.nowMs + (context.stepMs() << Math.min(5, Math.max(0, job.failures - 2)));
         jobs.release(p, false);
       }
       case NO_ROOM, BUSY, UNKNOWN -> {
         LOG.info("{} refused on {}: {}", p.id(), m.name, task.cause());
-        job.notBeforeMs = context.nowMs + context.paceMs();
+        job.notBeforeMs = context.nowMs + context.stepMs();
         jobs.release(p, false);
       }
       case STOPPED, PEERS, INCOMPLETE -> jobs.release(p, false);
@@ -311,7 +311,7 @@
   private ImmutableList<Command> commands(MachineEntry m) {
     ImmutableList.Builder<Command> list = ImmutableList.builder();
     Set<Attempt> held = new HashSet<>();
-    for (Placed p : m.placed) {
+    for (Reservation p : m.placed) {
       if (p.committed) {
         held.add(p.id());
       }
@@ -322,7 +322,7 @@
         continue;
       }
       JobEntry job = jobs.get(attempt.task().job());
-      Placed p = job == null ? null : job.placed.get(attempt.task().index());
+      Reservation p = job == null ? null : job.placed.get(attempt.task().index());
       boolean ours = p != null && held.contains(attempt);
       if (task.ended()) {
         if (!ours
@@ -342,7 +342,7 @@
       m.token = m.directToken + 1;
     }
     if (usable(m)) {
-      for (Placed p : m.placed) {
+      for (Reservation p : m.placed) {
         if (p.mayStart() && !p.job.aborting) {
           list.add(new Command.Run(p.id()));
           p.sentToken = m.token;
@@ -355,7 +355,7 @@
     return list.build();
   }
 
-  private void noteImage(MachineEntry m, Placed p) {
+  private void noteImage(MachineEntry m, Reservation p) {
     MachineType type = fleet.type(m);
     String image = p.job.job.image();
     if (type == null || image == null) {
@@ -383,7 +383,7 @@
       }
       if (m.report == null || !shown(m)) {
         // Reached directly, so that an older leader's token ends there soon.
-        if (!m.booting && context.nowMs - electedMs > context.paceMs() && free > forCommands) {
+        if (!m.booting && context.nowMs - electedMs > context.stepMs() && free > forCommands) {
           reach(m);
         }
       } else if (m.urgent && heard(m)) {
@@ -398,22 +398,22 @@
   }
 
   /** Whether another node answered the machine's worker in this one's place not long ago. */
-  boolean deputed(MachineEntry m) {
-    return m.deputedMs > 0 && context.nowMs - m.deputedMs <= 2 * context.paceMs();
+  boolean proxied(MachineEntry m) {
+    return m.proxiedMs > 0 && context.nowMs - m.proxiedMs <= 2 * context.stepMs();
   }
 
   /**
    * Whether a machine that is silent may be lost. For a while it is not where its whole zone can't
    * be reached, and nodes there may answer for this one.
    */
-  boolean doubtful(MachineEntry m) {
-    double share = peers.apart(m.zone()) ? APART_DOUBT_SHARE : DOUBT_SHARE;
-    return !deputed(m) && silentForMs(m) > context.leaseMs() * share;
+  boolean suspected(MachineEntry m) {
+    double share = peers.apart(m.zone()) ? APART_SUSPECT_SHARE : SUSPECT_SHARE;
+    return !proxied(m) && silentForMs(m) > context.leaseMs() * share;
   }
 
-  /** Takes the tasks off machines whose leases have lapsed, unless a deputy renewed them. */
+  /** Takes the tasks off machines whose leases have lapsed, unless a leaseProxy renewed them. */
   private void settleLapsed() {
-    if (!rebuilt || readingDeputed || context.nowMs < readDeputedNotBeforeMs) {
+    if (!rebuilt || readingProxied || context.nowMs < readProxiedNotBeforeMs) {
       return;
     }
     List<MachineEntry> over = new ArrayList<>();
@@ -423,34 +423,34 @@
         if (lapsed(m)) {
           over.add(m);
         }
-        silent |= m.report != null && silentForMs(m) > context.leaseMs() * DOUBT_SHARE;
+        silent |= m.report != null && silentForMs(m) > context.leaseMs() * SUSPECT_SHARE;
       }
     }
-    if (!mayBeDeputed()) {
+    if (!mayBeProxied()) {
       over.forEach(this::settle);
     } else if (silent || !over.isEmpty()) {
-      readingDeputed = true;
-      readDeputedNotBeforeMs = context.nowMs + context.paceMs() / 2;
-      readDeputed.accept(names -> deputed(over, names));
+      readingProxied = true;
+      readProxiedNotBeforeMs = context.nowMs + context.stepMs() / 2;
+      readProxied.accept(names -> proxied(over, names));
     }
   }
 
   /** Only nodes of another zone than the leader's stand in for it. */
-  private boolean mayBeDeputed() {
+  private boolean mayBeProxied() {
     return context.settings.peerZones().values().stream()
         .anyMatch(zone -> !zone.equals(context.settings.zone()));
   }
 
   /** What was read after the leases in {@code over} had lapsed as far as this node knows. */
-  private void deputed(List<MachineEntry> over, Set<String> names) {
-    readingDeputed = false;
+  private void proxied(List<MachineEntry> over, Set<String> names) {
+    readingProxied = false;
     if (names == null) {
       return;
     }
     for (String name : names) {
       MachineEntry m = fleet.get(name);
       if (m != null) {
-        m.deputedMs = context.nowMs;
+        m.proxiedMs = context.nowMs;
       }
     }
     for (MachineEntry m : over) {
@@ -484,14 +484,14 @@
       }
       renewedMs = Math.max(renewedMs, overMs);
     }
-    return context.nowMs - renewedMs > Context.surely(context.leaseMs()) + context.paceMs() / 2;
+    return context.nowMs - renewedMs > Context.surely(context.leaseMs()) + context.stepMs() / 2;
   }
 
   private void reach(MachineEntry m) {
     m.commanding = true;
     if (m.report == null) {
       context.ask(
-          call -> new Effect.AskInspect(call, m.addr(), context.paceMs() * 2),
+          call -> new Effect.AskInspect(call, m.addr(), context.stepMs() * 2),
           reply -> commanded(m, reply, 0));
     } else {
       m.token = Math.max(m.token, base() + 1);
@@ -531,7 +531,7 @@
     long session = m.session();
     context.ask(
         call ->
-            new Effect.AskCommands(call, m.addr(), token, session, commands, context.paceMs() * 2),
+            new Effect.AskCommands(call, m.addr(), token, session, commands, context.stepMs() * 2),
         reply -> commanded(m, reply, token));
   }
 
@@ -540,7 +540,7 @@
     if (fleet.get(m.name) != m || !term.leading()) {
       return;
     }
-    if (reply instanceof Reply.WorkerSays says) {
+    if (reply instanceof Reply.WorkerAnswer says) {
       m.unanswered = 0;
       if (says.report().token() >= base() + (1L << SEQUENCE_BITS)) {
         term.outdated(says.report().token() >> SEQUENCE_BITS);
@@ -561,7 +561,7 @@
         m.urgent = false;
       }
       m.commandNotBeforeMs =
-          context.nowMs + context.paceMs() + context.random.nextLong(context.paceMs());
+          context.nowMs + context.stepMs() + context.random.nextLong(context.stepMs());
     }
   }
 }
--- a/src/main/java/eiderfork/model/AllocSize.java
+++ b/src/main/java/eiderfork/model/AllocSize.java
@@ -51,7 +51,7 @@
   }
 
   /** Whether one more reservation leaves the record within a value, wherever it is. */
-  public boolean takes(long attempt, String machine, double valueKb) {
+  public boolean fits(long attempt, String machine, double valueKb) {
     int more = digits(attempt) + machine.length() + 2 * AROUND;
     return bytes(reserved + 1, placeBytes + more) <= valueKb * 1024 * VALUE_SHARE;
   }
@@ -71,7 +71,7 @@
 
   /** Whether values of this size let a job of that many tasks run at all, one by one. */
   public static boolean anyFits(int tasks, int nameBytes, double valueKb) {
-    return new AllocSize(tasks, 1).takes(Long.MAX_VALUE, "m".repeat(nameBytes), valueKb);
+    return new AllocSize(tasks, 1).fits(Long.MAX_VALUE, "m".repeat(nameBytes), valueKb);
   }
 
   private static int digits(long n) {
--- a/src/main/java/eiderfork/model/Record.java
+++ b/src/main/java/eiderfork/model/Record.java
@@ -46,7 +46,7 @@
   record Return(ImmutableList<String> machines) implements Record {}
 
   /** Machines whose workers a node answers in the place of a leader that they can't reach. */
-  record Deputed(ImmutableList<String> machines) implements Record {}
+  record ProxiedLeases(ImmutableList<String> machines) implements Record {}
 
   /** The machine types, kept for nodes that must judge a submission without the cloud. */
   record Types(ImmutableList<MachineType> types) implements Record {}
--- a/src/main/java/eiderfork/net/Node.java
+++ b/src/main/java/eiderfork/net/Node.java
@@ -284,11 +284,11 @@
     if (status != 200 && status != 409) {
       return new Reply.Refused(status);
     }
-    return new Reply.WorkerSays(status == 200, WorkerWire.report(body));
+    return new Reply.WorkerAnswer(status == 200, WorkerWire.report(body));
   }
 
   private static Reply peerSays(int status, byte[] body) throws BadMessage {
-    return status == 200 ? new Reply.PeerSays(PeerWire.view(body)) : new Reply.Refused(status);
+    return status == 200 ? new Reply.PeerPong(PeerWire.view(body)) : new Reply.Refused(status);
   }
 
   private static Reply peerAnswered(int status, byte[] body) throws BadMessage {
--- a/src/main/java/eiderfork/net/Rehearsal.java
+++ b/src/main/java/eiderfork/net/TrainingRun.java
@@ -17,7 +17,7 @@
  * ordinary paths. The build records the classes that this loads, since on a sliver of a core
  * loading them is most of a start.
  */
-public final class Rehearsal {
+public final class TrainingRun {
   /** One controller asks, over a handful of connections. */
   private static final int STAND_IN_BACKLOG = 16;
 
@@ -29,17 +29,17 @@
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
-  private Rehearsal() {}
+  private TrainingRun() {}
 
   /**
-   * Runs the rehearsal once.
+   * Runs the training run once.
    *
    * @throws Exception where the controller or a stand-in fails
    */
   public static void run() throws Exception {
     for (int left = TRIES; ; left--) {
       try {
-        new Rehearsal().play();
+        new TrainingRun().play();
         return;
       } catch (IOException e) {
         // Another program took a port between the look for a free one and its use.
@@ -93,7 +93,7 @@
         sockets = 600
         """
             .formatted(publicPort, peerPort, services);
-    Node node = new Node(SettingsFile.parse("rehearsal", settings, OperatorSettings.DEFAULTS));
+    Node node = new Node(SettingsFile.parse("training-run", settings, OperatorSettings.DEFAULTS));
     node.start();
     HttpClient client = new HttpClient(group.next(), 1);
     Endpoint to = new Endpoint("127.0.0.1", publicPort);
--- a/src/main/java/eiderfork/wire/PeerWire.java
+++ b/src/main/java/eiderfork/wire/PeerWire.java
@@ -196,7 +196,7 @@
     for (Object answer : (List<?>) read(ANSWERS, bytes).get("answers")) {
       answers.add(fromRecord((GenericRecord) answer));
     }
-    return new Reply.PeerAnsweredAll(answers.build());
+    return new Reply.PeerAnswers(answers.build());
   }
 
   /** Writes the answer to a request that was passed on. */
@@ -223,7 +223,7 @@
    * @throws BadMessage where it can't be read
    */
   public static Reply answer(byte[] bytes) throws BadMessage {
-    return new Reply.PeerAnswered(fromRecord(read(ANSWER, bytes)));
+    return new Reply.PeerAnswer(fromRecord(read(ANSWER, bytes)));
   }
 
   private static UserAnswer fromRecord(GenericRecord record) throws BadMessage {
--- a/src/main/java/eiderfork/wire/Records.java
+++ b/src/main/java/eiderfork/wire/Records.java
@@ -41,7 +41,7 @@
       node.put("count", it.count());
     } else if (record instanceof Record.Return it) {
       it.machines().forEach(node.putArray("machines")::add);
-    } else if (record instanceof Record.Deputed it) {
+    } else if (record instanceof Record.ProxiedLeases it) {
       it.machines().forEach(node.putArray("machines")::add);
     } else if (record instanceof Record.Types it) {
       node.set("types", CloudWire.nodes(it.types()));
@@ -149,8 +149,8 @@
           (int) Json.integer(node, "count"));
     } else if (key.startsWith(Keys.RETURN)) {
       return new Record.Return(CloudWire.texts(Json.array(node, "machines")));
-    } else if (key.startsWith(Keys.DEPUTY)) {
-      return new Record.Deputed(CloudWire.texts(Json.array(node, "machines")));
+    } else if (key.startsWith(Keys.LEASE_PROXY)) {
+      return new Record.ProxiedLeases(CloudWire.texts(Json.array(node, "machines")));
     } else if (key.equals(Keys.TYPES)) {
       return new Record.Types(CloudWire.types(Json.array(node, "types")));
     }
--- a/src/test/java/eiderfork/core/AllocSizeTest.java
+++ b/src/test/java/eiderfork/core/AllocSizeTest.java
@@ -22,7 +22,7 @@
   void everyRecordFitsIntoAValue(long seed, int tasks, int atLeastAtOnce) {
     Random random = new Random(seed);
     Job job = World.job(1, JobKind.ARRAY, tasks, 1);
-    JobEntry entry = new JobEntry(job, Shape.of(job), 1, 0, new Backoff(1, 2));
+    JobEntry entry = new JobEntry(job, TaskProfile.of(job), 1, 0, new Backoff(1, 2));
     int most = 0;
     long attempt = 0;
     while (!entry.allFinished()) {
@@ -32,21 +32,21 @@
           index >= 0;
           index = entry.waiting.nextSetBit(index + 1)) {
         MachineEntry m = new MachineEntry("n-%06d".formatted(random.nextInt(250)), 0);
-        if (!size.takes(attempt, m.name, VALUE_KB)) {
+        if (!size.fits(attempt, m.name, VALUE_KB)) {
           break;
         }
         size.add(attempt, m.name);
-        entry.placed.put(index, new Placed(entry, index, attempt, m));
+        entry.placed.put(index, new Reservation(entry, index, attempt, m));
         entry.waiting.clear(index);
         entry.lastAttempt = attempt;
       }
       assertFits(entry);
       most = Math.max(most, entry.placed.size());
-      List<Placed> ending = new ArrayList<>(entry.placed.values());
+      List<Reservation> ending = new ArrayList<>(entry.placed.values());
       assertTrue(!ending.isEmpty(), "something always goes on");
       java.util.Collections.shuffle(ending, random);
       int ends = 1 + random.nextInt(ending.size());
-      for (Placed p : ending.subList(0, ends)) {
+      for (Reservation p : ending.subList(0, ends)) {
         entry.placed.remove(p.index);
         if (random.nextInt(8) == 0) {
           entry.waiting.set(p.index);
--- a/src/test/java/eiderfork/core/AnswerTest.java
+++ b/src/test/java/eiderfork/core/AnswerTest.java
@@ -21,7 +21,7 @@
     return LongStream.rangeClosed(1, 20);
   }
 
-  /** Users poll once more: every job is over, and every node says so. */
+  /** UserRequests poll once more: every job is over, and every node says so. */
   private static void allOver(World world, List<Job> jobs) {
     jobs.forEach(job -> world.queryAll(job.uid()));
     world.run(3);
@@ -49,8 +49,8 @@
 
   /**
    * All nodes are asked, and the submission is repeated at each, within milliseconds of every
-   * answer that says something new. Guards: {@link Fence} for cancellations that a peer wrote, the
-   * state service alone for what is not in memory, {@link SettledJobs} for what is over.
+   * answer that says something new. Guards: {@link ReadBarrier} for cancellations that a peer
+   * wrote, the state service alone for what is not in memory, {@link SettledJobs} for what is over.
    */
   @ParameterizedTest
   @MethodSource("seeds")
--- a/src/test/java/eiderfork/core/BudgetTest.java
+++ b/src/test/java/eiderfork/core/BudgetTest.java
@@ -63,10 +63,10 @@
     Context context = new Context(World.settings("roost-0"), new Random(1), 0);
     StateGate gate = new StateGate(context);
     Term term = new Term(context, gate, null);
-    JobBook jobs = new JobBook(context, gate, term);
+    JobTable jobs = new JobTable(context, gate, term);
     Fleet fleet = new Fleet(context, jobs);
-    Users users =
-        new Users(
+    UserRequests users =
+        new UserRequests(
             context,
             term,
             gate,
--- a/src/test/java/eiderfork/core/ControllerTest.java
+++ b/src/test/java/eiderfork/core/ControllerTest.java
@@ -57,11 +57,11 @@
     Context context = new Context(World.settings("roost-0"), new Random(1), 0);
     StateGate gate = new StateGate(context);
     Term term = new Term(context, gate, null);
-    JobBook jobs = new JobBook(context, gate, term);
+    JobTable jobs = new JobTable(context, gate, term);
     Fleet fleet = new Fleet(context, jobs);
     Cancellations cancellations = new Cancellations(context, uid -> {});
-    Workers workers =
-        new Workers(
+    WorkerControl workers =
+        new WorkerControl(
             context,
             term,
             jobs,
--- a/src/test/java/eiderfork/core/NoRoomTest.java
+++ b/src/test/java/eiderfork/core/FailedSearchesTest.java
@@ -9,14 +9,14 @@
 import org.junit.jupiter.api.Test;
 
 /** What a proof of no room says of other jobs. */
-class NoRoomTest {
+class FailedSearchesTest {
   private static Job job(double gpus, boolean spot) {
     return World.job(1, JobKind.SERVICE, 1, gpus, "blue", Priority.HIGH, false, spot);
   }
 
   @Test
   void whatTakesAsMuchFindsNoRoomEitherAndNothingElseIsRuledOut() {
-    NoRoom proved = new NoRoom();
+    FailedSearches proved = new FailedSearches();
     proved.note(job(2, false), "a");
     assertTrue(proved.knows(job(2, false), "a"));
     assertTrue(proved.knows(job(3, false), "a"), "a larger task of the same kind");
--- a/src/test/java/eiderfork/core/ForwardsTest.java
+++ b/src/test/java/eiderfork/core/ForwardsTest.java
@@ -42,7 +42,7 @@
     ImmutableList<UserAnswer> answers =
         ImmutableList.of(
             running("run-1"), UserAnswer.refused(404, "no such job"), UserAnswer.later(1, "busy"));
-    context.answered(sent.get(0).call(), new Reply.PeerAnsweredAll(answers));
+    context.answered(sent.get(0).call(), new Reply.PeerAnswers(answers));
     assertEquals(List.of("run-1 200", "run-2 404", "run-3 here"), told);
   }
 
@@ -58,7 +58,7 @@
     ask("run-4");
     forwards.tick("roost-1");
     ImmutableList<UserAnswer> tooFew = ImmutableList.of(running("run-3"));
-    context.answered(sent().get(0).call(), new Reply.PeerAnsweredAll(tooFew));
+    context.answered(sent().get(0).call(), new Reply.PeerAnswers(tooFew));
     assertEquals(List.of("run-1 here", "run-2 here", "run-3 here", "run-4 here"), told);
   }
 
--- a/src/test/java/eiderfork/core/JobBookTest.java
+++ b/src/test/java/eiderfork/core/JobTableTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 /** What a leader keeps of jobs beside their state. */
-class JobBookTest {
+class JobTableTest {
   /**
    * A new leader once knew only the images of what runs, and sent replicas to machines that had to
    * fetch first.
@@ -23,7 +23,7 @@
   void aNewLeaderKnowsWhichImagesMachinesWereGiven() {
     Context context = new Context(World.settings("roost-0"), new Random(1), 0);
     StateGate gate = new StateGate(context);
-    JobBook jobs = new JobBook(context, gate, null);
+    JobTable jobs = new JobTable(context, gate, null);
     Fleet fleet = new Fleet(context, jobs);
     fleet.types(
         ImmutableList.of(
--- a/src/test/java/eiderfork/core/DeputyTest.java
+++ b/src/test/java/eiderfork/core/LeaseProxyTest.java
@@ -18,9 +18,9 @@
 
 /**
  * Two zones can't reach each other while both reach the state service: nodes of the other zone
- * answer workers in the leader's place ({@link Deputy}).
+ * answer workers in the leader's place ({@link LeaseProxy}).
  */
-class DeputyTest {
+class LeaseProxyTest {
   private static LongStream seeds() {
     return LongStream.rangeClosed(1, 12);
   }
@@ -65,7 +65,7 @@
     world.run(10);
     assertEquals(starts, world.checker.starts, "nothing was lost and started again");
     Outcome.allServed(world, jobs);
-    assertTrue(world.state.keys(Keys.DEPUTY).isEmpty(), "the records are gone");
+    assertTrue(world.state.keys(Keys.LEASE_PROXY).isEmpty(), "the records are gone");
   }
 
   /** Ends all other nodes until this one leads, and waits until all is as it was. */
@@ -115,7 +115,7 @@
   /** The leader stops nothing in the other zone; the node that answers a worker does. */
   @ParameterizedTest
   @ValueSource(ints = {0, 1000, 3000, 5000, 6000, 7000, 9000, 15_000, 25_000})
-  void aCancellationDuringASplitIsCarriedOutByTheDeputy(int afterMs) {
+  void aCancellationDuringASplitIsCarriedOutByTheLeaseProxy(int afterMs) {
     World world = world(3);
     List<Job> jobs = spread(world, 4);
     world.splitZones(80_000);
@@ -127,7 +127,7 @@
     Outcome.allServed(world, jobs);
   }
 
-  /** A machine that dies meanwhile is replaced once its deputy's records are gone. */
+  /** A machine that dies meanwhile is replaced once its leaseProxy's records are gone. */
   @ParameterizedTest
   @ValueSource(ints = {0, 2000, 8000, 20_000, 29_000})
   void aMachineThatDiesDuringASplitIsReplaced(int afterMs) {
--- a/src/test/java/eiderfork/core/FenceTest.java
+++ b/src/test/java/eiderfork/core/ReadBarrierTest.java
@@ -11,13 +11,13 @@
 import org.junit.jupiter.api.Test;
 
 /** A question is answered only from memory that holds every cancellation committed before it. */
-class FenceTest {
+class ReadBarrierTest {
   private final Context context = new Context(World.settings("roost-0"), new Random(1), 1000);
   private final StateGate gate = new StateGate(context);
   private final List<String> aborted = new ArrayList<>();
   private final List<Long> caughtUp = new ArrayList<>();
-  private final Fence fence =
-      new Fence(
+  private final ReadBarrier readBarrier =
+      new ReadBarrier(
           context,
           gate,
           item -> aborted.add(((Record.Aborted) item.record()).uid()),
@@ -25,7 +25,7 @@
 
   private Effect.AskState asked() {
     context.nowMs += 1000;
-    fence.tick();
+    readBarrier.tick();
     gate.pump();
     List<Effect> effects = context.takeEffects();
     assertEquals(1, effects.size());
@@ -35,13 +35,13 @@
   @Test
   void servesQuestionsTogetherAndNeverFromAnEarlierLook() {
     List<String> told = new ArrayList<>();
-    fence.start(5);
-    fence.pass(ok -> told.add("first " + ok + aborted));
+    readBarrier.start(5);
+    readBarrier.pass(ok -> told.add("first " + ok + aborted));
     Effect.AskState look = asked();
     assertEquals(new StateOp.Watch(Keys.ABORT, 5, 0), look.op());
-    fence.pass(ok -> told.add("second " + ok + aborted));
-    fence.pass(ok -> told.add("third " + ok + aborted));
-    fence.tick();
+    readBarrier.pass(ok -> told.add("second " + ok + aborted));
+    readBarrier.pass(ok -> told.add("third " + ok + aborted));
+    readBarrier.tick();
     assertTrue(context.takeEffects().isEmpty(), "a look is under way");
     long askedMs = context.nowMs;
     context.nowMs += 400;
@@ -58,12 +58,12 @@
   @Test
   void saysNoWhenTheLookFailsOrTheLeadIsLost() {
     List<Boolean> told = new ArrayList<>();
-    fence.pass(told::add);
+    readBarrier.pass(told::add);
     context.answered(asked().call(), new Reply.Refused(503));
-    fence.pass(told::add);
-    fence.pass(told::add);
+    readBarrier.pass(told::add);
+    readBarrier.pass(told::add);
     Effect.AskState look = asked();
-    fence.stop();
+    readBarrier.stop();
     context.answered(look.call(), new Reply.Changes(ImmutableList.of(), 9));
     assertEquals(List.of(false, false, false), told);
   }
--- a/src/test/java/eiderfork/core/ScaleTest.java
+++ b/src/test/java/eiderfork/core/ScaleTest.java
@@ -30,7 +30,7 @@
     for (int i = 0; i < 800; i++) {
       world.run(0.05);
       for (Controller node : world.nodes.values()) {
-        most = Math.max(most, node.looks());
+        most = Math.max(most, node.examined());
       }
     }
     long machines = world.liveHosts();
@@ -71,7 +71,7 @@
     for (int i = 0; i < 200; i++) {
       world.run(0.05);
       for (Controller node : world.nodes.values()) {
-        most = Math.max(most, node.placementLooks());
+        most = Math.max(most, node.placementExamined());
       }
     }
     assertTrue(most <= 20 * machines, most + " looks with " + machines + " machines");
--- a/src/test/java/eiderfork/core/TakeoverTest.java
+++ b/src/test/java/eiderfork/core/TakeoverTest.java
@@ -160,7 +160,9 @@
     Outcome.allServed(world, jobs);
   }
 
-  /** Workers can't open connections to any controller, while direct commands still reach them. */
+  /**
+   * WorkerControl can't open connections to any controller, while direct commands still reach them.
+   */
   @Test
   void machinesThatReachNobodyAreNotStartedOnTwice() {
     World world = new World(4);
--- a/src/test/java/eiderfork/core/TurnOrderTest.java
+++ b/src/test/java/eiderfork/core/TurnOrderTest.java
@@ -22,7 +22,7 @@
 
   private final Context context = new Context(settings(), new Random(1), START_MS);
   private final StateGate gate = new StateGate(context);
-  private final JobBook jobs = new JobBook(context, gate, null);
+  private final JobTable jobs = new JobTable(context, gate, null);
   private final Fleet fleet = new Fleet(context, jobs);
   private final Deadlines deadlines = new Deadlines(context, fleet);
   private final JobRanking ranking = new JobRanking(context, deadlines);
@@ -149,7 +149,7 @@
   @Test
   void aTaskIsLateIfRunAgainOnlyWhereItIsInTimeNow() {
     JobEntry entry = array(1, 1, 50, 100.0);
-    Placed p = new Placed(entry, 0, 1, fleet.known("n-1"));
+    Reservation p = new Reservation(entry, 0, 1, fleet.known("n-1"));
     p.runningSinceMs = START_MS + 20_000;
     context.nowMs = START_MS + 40_000;
     assertFalse(deadlines.lateIfRunAgain(p), "a run from now ends at 90 s");
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -445,10 +445,10 @@
           commandsLateMs,
           w -> {
             boolean executed = w.direct(it.token(), it.session(), it.commands());
-            return new Reply.WorkerSays(executed, w.report());
+            return new Reply.WorkerAnswer(executed, w.report());
           });
     } else if (effect instanceof Effect.AskInspect it) {
-      worker(node, it, it.addr(), 0, w -> new Reply.WorkerSays(true, w.report()));
+      worker(node, it, it.addr(), 0, w -> new Reply.WorkerAnswer(true, w.report()));
     } else if (effect instanceof Effect.Answer it) {
       Consumer<Effect> then = answers.remove(it.ticket());
       if (then != null) {
@@ -469,7 +469,7 @@
               ask(
                   it.node(),
                   ticket -> new Input.PeerPing(ticket, it.view()),
-                  said -> then.accept(new Reply.PeerSays(((Effect.AnswerPing) said).view()))));
+                  said -> then.accept(new Reply.PeerPong(((Effect.AnswerPing) said).view()))));
     } else if (effect instanceof Effect.AskPeerRequest it) {
       call(
           node,
@@ -479,8 +479,7 @@
               ask(
                   it.node(),
                   ticket -> new Input.PeerRequest(ticket, it.request()),
-                  said ->
-                      then.accept(new Reply.PeerAnswered(((Effect.AnswerUser) said).answer()))));
+                  said -> then.accept(new Reply.PeerAnswer(((Effect.AnswerUser) said).answer()))));
     } else if (effect instanceof Effect.AskPeerQueries it) {
       call(
           node,
@@ -492,7 +491,7 @@
                   ticket -> new Input.PeerQueries(ticket, it.uids()),
                   said ->
                       then.accept(
-                          new Reply.PeerAnsweredAll(((Effect.AnswerPeerQueries) said).answers()))));
+                          new Reply.PeerAnswers(((Effect.AnswerPeerQueries) said).answers()))));
     }
   }
 
@@ -711,7 +710,7 @@
     return new Reply.Hosts(entries.build(), false);
   }
 
-  // Workers.
+  // WorkerControl.
 
   List<FakeWorker> workers() {
     List<FakeWorker> live = new ArrayList<>();
@@ -838,7 +837,7 @@
     }
   }
 
-  // Users.
+  // UserRequests.
 
   /** A user submits until the job is accepted or refused for good. */
   void submit(Job job) {
--- a/src/test/java/eiderfork/wire/WireTest.java
+++ b/src/test/java/eiderfork/wire/WireTest.java
@@ -226,9 +226,9 @@
     assertEquals(UserWire.job(bytes(JOB)), submit.job());
     JobStatus job = new JobStatus("run-1", JobStatus.Stance.DONE, 4, 0);
     UserAnswer answer = new UserAnswer(200, job, 0, null);
-    assertEquals(new Reply.PeerAnswered(answer), PeerWire.answer(PeerWire.answer(answer)));
+    assertEquals(new Reply.PeerAnswer(answer), PeerWire.answer(PeerWire.answer(answer)));
     assertEquals(
-        new Reply.PeerAnsweredAll(ImmutableList.of(answer, answer)),
+        new Reply.PeerAnswers(ImmutableList.of(answer, answer)),
         PeerWire.answers(PeerWire.answers(List.of(answer, answer))));
     assertEquals(
         List.of("run-1", "run-2"), PeerWire.queries(PeerWire.queries(List.of("run-1", "run-2"))));
