Where arrays are stopped for a service, the wait for its image counts as loss

Excluded: no room on machines with the image, since every full machine was an option.

Change: the time that the service waits for its image on a machine counts like work that is thrown away there.

WorkerControl loses MachineLiveness and LeaseLapses, without a change. memory_mb below 96 is refused.

--- a/src/main/java/eiderfork/config/Settings.java
+++ b/src/main/java/eiderfork/config/Settings.java
@@ -84,7 +84,7 @@
 
   /** What a controller's machine gives it: a share of one core, and sockets. */
   public record Controller(double cpuShare, int sockets) {
-    /** WorkerControl and users come in on sockets of their own; this part is for what goes out. */
+    /** Workers and users come in on sockets of their own; this part is for what goes out. */
     private static final int OUTBOUND_PART = 8;
 
     /** How many connections may be kept, and how many workers commanded, at a time. */
--- a/src/main/java/eiderfork/config/SettingsFile.java
+++ b/src/main/java/eiderfork/config/SettingsFile.java
@@ -20,6 +20,12 @@
   /** A machine's name is no longer than a key may be. */
   private static final int MOST_NAME_BYTES = 200;
 
+  /**
+   * What a controller takes with the heap of the deploy file, in MB; the largest fleet measured
+   * took 88.
+   */
+  private static final double LEAST_MEMORY_MB = 96;
+
   private final String file;
 
   private SettingsFile(String file) {
@@ -95,6 +101,11 @@
         inState,
         "txn_ops",
         "fewer changes than taking the lead writes at once (" + SAFE_CHANGES + ")");
+    check(
+        number(resources, inResources, "memory_mb", LEAST_MEMORY_MB) >= LEAST_MEMORY_MB,
+        inResources,
+        "memory_mb",
+        "less than a controller may take (" + (int) LEAST_MEMORY_MB + ")");
     return new Settings(
         text(root, "", "host_name"),
         text(root, "", "zone"),
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -40,6 +40,7 @@
   private final Term term;
   private final JobTable jobs;
   private final Fleet fleet;
+  private final MachineLiveness liveness;
   private final WorkerControl workers;
   private final Placer placer;
   private final Cloud cloud;
@@ -82,12 +83,14 @@
     cancellations = new Cancellations(context, this::cancelled);
     peers = new Peers(context, term, cancellations);
     leaseProxy = new LeaseProxy(context, gate, term, peers, cancellations);
+    liveness = new MachineLiveness(context, term);
+    LeaseLapses lapses =
+        new LeaseLapses(context, fleet, peers, liveness, this::readProxied, this::kick);
     workers =
-        new WorkerControl(
-            context, term, jobs, fleet, cancellations, peers, this::readProxied, this::kick);
-    placer = new Placer(context, term, gate, jobs, fleet, workers);
+        new WorkerControl(context, term, jobs, fleet, cancellations, liveness, lapses, this::kick);
+    placer = new Placer(context, term, gate, jobs, fleet, liveness);
     cloud = new Cloud(context, term, gate, fleet);
-    planner = new Planner(context, gate, jobs, fleet, workers, cloud, placer);
+    planner = new Planner(context, gate, jobs, fleet, liveness, lapses, cloud, placer);
     readBarrier = new ReadBarrier(context, gate, this::changed, cancellations::caughtUp);
     users =
         new UserRequests(
@@ -170,7 +173,7 @@
   private int heard() {
     if (context.nowMs - heardCountedMs >= context.stepMs() / 2) {
       heardCountedMs = context.nowMs;
-      heardMs.values().removeIf(at -> context.nowMs - at > workers.silentMs());
+      heardMs.values().removeIf(at -> context.nowMs - at > liveness.silentMs());
     }
     // Machines that have to be answered here don't need this node to lead.
     return Math.max(0, heardMs.size() - leaseProxy.machineCount());
@@ -236,7 +239,7 @@
     }
   }
 
-  /** WorkerControl that can't reach this leader, but can reach a peer, need that peer to lead. */
+  /** Workers that can't reach this leader, but can reach a peer, need that peer to lead. */
   private void resignIfUnheard() {
     if (context.nowMs < deafCheckMs) {
       return;
@@ -247,7 +250,7 @@
     for (MachineEntry m : fleet.machines()) {
       if (m.report != null && !m.returning) {
         known++;
-        heard += workers.heard(m) ? 1 : 0;
+        heard += liveness.heard(m) ? 1 : 0;
       }
     }
     if (known >= 2 && heard * 2 < known && peers.betterHeard(heard)) {
--- a/src/main/java/eiderfork/core/Drain.java
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -37,13 +37,13 @@
 
   private final Context context;
   private final Fleet fleet;
-  private final WorkerControl workers;
+  private final MachineLiveness liveness;
   private final Placer placer;
 
-  Drain(Context context, Fleet fleet, WorkerControl workers, Placer placer) {
+  Drain(Context context, Fleet fleet, MachineLiveness liveness, Placer placer) {
     this.context = context;
     this.fleet = fleet;
-    this.workers = workers;
+    this.liveness = liveness;
     this.placer = placer;
   }
 
@@ -104,7 +104,7 @@
     if (m == null
         || m.placed.isEmpty()
         || fleet.type(m) == null
-        || !workers.usable(m)
+        || !liveness.usable(m)
         || context.nowMs - m.sinceMs < Planner.MIN_CHARGE_MS
         || !bin.left.equals(m.free())
         || bin.left.shareOf(bin.room) < 1 - MOST_USED) {
@@ -157,7 +157,7 @@
   private boolean accepts(Job job, Bin from, Bin to) {
     return to.machine != null
         && !to.machine.placed.isEmpty()
-        && workers.usable(to.machine)
+        && liveness.usable(to.machine)
         && to.kind.zone().equals(from.kind.zone())
         && job.allowsType(to.kind.type())
         && (job.spot() || !to.kind.spot())
--- a/src/main/java/eiderfork/core/Forwards.java
+++ b/src/main/java/eiderfork/core/Forwards.java
@@ -8,9 +8,9 @@
 import java.util.function.Consumer;
 
 /**
- * Passes users' questions on to the leader, those of one tick in one request. UserRequests ask
- * after each job every few seconds, so that questions are most of what a node is sent; passed on
- * one by one they took most of the processor of a fleet of a thousand jobs.
+ * Passes users' questions on to the leader, those of one tick in one request. Users ask after each
+ * job every few seconds, so that questions are most of what a node is sent; passed on one by one
+ * they took most of the processor of a fleet of a thousand jobs.
  */
 final class Forwards {
   /** The most questions in a request; with the longest ids they stay far below 64 KiB. */
--- /dev/null
+++ b/src/main/java/eiderfork/core/LeaseLapses.java
@@ -0,0 +1,145 @@
+package eiderfork.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Settles the tasks of machines whose workers' leases have surely lapsed, unless a {@link
+ * LeaseProxy} renewed them.
+ */
+final class LeaseLapses {
+  private static final Logger LOG = LoggerFactory.getLogger(LeaseLapses.class);
+
+  /** The share of a lease after which machines for the tasks of a silent one are planned. */
+  private static final double SUSPECT_SHARE = 0.5;
+
+  /** The same where its whole zone can't be reached, for lease proxies take until then to begin. */
+  private static final double APART_SUSPECT_SHARE = 0.75;
+
+  private final Context context;
+  private final Fleet fleet;
+  private final Peers peers;
+  private final MachineLiveness liveness;
+  private final Consumer<Consumer<Set<String>>> readProxied;
+  private final Runnable kick;
+  private boolean readingProxied;
+  private long readProxiedNotBeforeMs;
+
+  /**
+   * @param readProxied reads which machines other nodes answer in this one's place
+   * @param kick is called where a round has something new to place
+   */
+  LeaseLapses(
+      Context context,
+      Fleet fleet,
+      Peers peers,
+      MachineLiveness liveness,
+      Consumer<Consumer<Set<String>>> readProxied,
+      Runnable kick) {
+    this.context = context;
+    this.fleet = fleet;
+    this.peers = peers;
+    this.liveness = liveness;
+    this.readProxied = readProxied;
+    this.kick = kick;
+  }
+
+  /** A term begins; an answer to what an earlier one asked is of no use. */
+  void elected() {
+    readingProxied = false;
+  }
+
+  /** Whether another node answered the machine's worker in this one's place not long ago. */
+  boolean proxied(MachineEntry m) {
+    return m.proxiedMs > 0 && context.nowMs - m.proxiedMs <= 2 * context.stepMs();
+  }
+
+  /**
+   * Whether a machine that is silent may be lost. For a while it is not where its whole zone can't
+   * be reached, and nodes there may answer for this one.
+   */
+  boolean suspected(MachineEntry m) {
+    double share = peers.apart(m.zone()) ? APART_SUSPECT_SHARE : SUSPECT_SHARE;
+    return !proxied(m) && liveness.silentForMs(m) > context.leaseMs() * share;
+  }
+
+  /** Takes the tasks off machines whose leases have lapsed, unless a leaseProxy renewed them. */
+  void settleLapsed() {
+    if (readingProxied || context.nowMs < readProxiedNotBeforeMs) {
+      return;
+    }
+    List<MachineEntry> over = new ArrayList<>();
+    boolean silent = false;
+    for (MachineEntry m : fleet.machines()) {
+      if (!m.placed.isEmpty()) {
+        if (lapsed(m)) {
+          over.add(m);
+        }
+        silent |= m.report != null && liveness.silentForMs(m) > context.leaseMs() * SUSPECT_SHARE;
+      }
+    }
+    if (!mayBeProxied()) {
+      over.forEach(this::settle);
+    } else if (silent || !over.isEmpty()) {
+      readingProxied = true;
+      readProxiedNotBeforeMs = context.nowMs + context.stepMs() / 2;
+      readProxied.accept(names -> proxied(over, names));
+    }
+  }
+
+  /** Only nodes of another zone than the leader's stand in for it. */
+  private boolean mayBeProxied() {
+    return context.settings.peerZones().values().stream()
+        .anyMatch(zone -> !zone.equals(context.settings.zone()));
+  }
+
+  /** What was read after the leases in {@code over} had lapsed as far as this node knows. */
+  private void proxied(List<MachineEntry> over, Set<String> names) {
+    readingProxied = false;
+    if (names == null) {
+      return;
+    }
+    for (String name : names) {
+      MachineEntry m = fleet.get(name);
+      if (m != null) {
+        m.proxiedMs = context.nowMs;
+      }
+    }
+    for (MachineEntry m : over) {
+      if (fleet.get(m.name) == m && !names.contains(m.name) && lapsed(m)) {
+        settle(m);
+      }
+    }
+  }
+
+  private void settle(MachineEntry m) {
+    LOG.info("machine {}: its lease has lapsed", m.name);
+    fleet.settleAll(m);
+    kick.run();
+  }
+
+  /**
+   * The worker has surely killed and forgotten everything that was started before. Where it does
+   * not show this term's token yet, an older leader may have renewed its lease for as long as there
+   * was one: a leader that took over while a zone was cut off once left the zone's replicas
+   * unplaced until the cut was over.
+   */
+  boolean lapsed(MachineEntry m) {
+    long renewedMs = m.answeredMs;
+    if (context.nowMs - renewedMs <= context.leaseMs()) {
+      return false;
+    }
+    if (!liveness.shown(m)) {
+      long overMs = peers.olderTermsOverMs();
+      if (overMs == Long.MAX_VALUE) {
+        return false;
+      }
+      renewedMs = Math.max(renewedMs, overMs);
+    }
+    return context.nowMs - renewedMs > Context.surely(context.leaseMs()) + context.stepMs() / 2;
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/core/MachineLiveness.java
@@ -0,0 +1,57 @@
+package eiderfork.core;
+
+/** What the leader knows of whether machines are alive, obey it and may be given tasks. */
+final class MachineLiveness {
+  /**
+   * A machine is silent after the longest time between two of its reports, which is a quarter over
+   * the interval, and this many steps more, for a report that was lost or tried another node.
+   */
+  private static final double LONGEST_REPORTS = 1.25;
+
+  private static final double SILENT_STEPS = 1.35;
+
+  private final Context context;
+  private final Term term;
+
+  MachineLiveness(Context context, Term term) {
+    this.context = context;
+    this.term = term;
+  }
+
+  /** How long the longest time between two reports of a machine that is heard is. */
+  long silentMs() {
+    return (long) (context.reportMs() * LONGEST_REPORTS + context.stepMs() * SILENT_STEPS);
+  }
+
+  /** Whether the worker takes this term's commands, so that no older leader can reach it. */
+  boolean shown(MachineEntry m) {
+    return m.report != null && m.report.token() >= term.firstToken();
+  }
+
+  boolean heard(MachineEntry m) {
+    return m.heardMs > 0 && context.nowMs - m.heardMs <= silentMs();
+  }
+
+  /** How long ago the machine last reported or was answered in this term. */
+  long silentForMs(MachineEntry m) {
+    return context.nowMs - Math.max(m.heardMs, m.answeredMs);
+  }
+
+  /** Reports come but commands do not arrive. */
+  boolean deaf(MachineEntry m) {
+    return m.deafSinceMs > 0 && context.nowMs - m.deafSinceMs > silentMs();
+  }
+
+  /** Whether tasks may be placed here. */
+  boolean usable(MachineEntry m) {
+    return m.room != null
+        && shown(m)
+        && heard(m)
+        && !deaf(m)
+        && !m.returning
+        && !m.draining
+        && !m.faulty
+        && m.report.noticeS() == null
+        && m.unanswered < 2;
+  }
+}
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -31,7 +31,7 @@
   private final StateGate gate;
   private final JobTable jobs;
   private final Fleet fleet;
-  private final WorkerControl workers;
+  private final MachineLiveness liveness;
   private final JobRanking ranking;
   private final ImageFetch imageFetch;
   private final Deadlines deadlines;
@@ -53,13 +53,13 @@
       StateGate gate,
       JobTable jobs,
       Fleet fleet,
-      WorkerControl workers) {
+      MachineLiveness liveness) {
     this.context = context;
     this.term = term;
     this.gate = gate;
     this.jobs = jobs;
     this.fleet = fleet;
-    this.workers = workers;
+    this.liveness = liveness;
     deadlines = new Deadlines(context, fleet);
     ranking = new JobRanking(context, deadlines);
     imageFetch = new ImageFetch(context, fleet);
@@ -103,7 +103,7 @@
       return left;
     }
     for (MachineEntry m : fleet.machines()) {
-      if (workers.usable(m)) {
+      if (liveness.usable(m)) {
         room.add(m);
       }
     }
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -70,7 +70,8 @@
   private final StateGate gate;
   private final JobTable jobs;
   private final Fleet fleet;
-  private final WorkerControl workers;
+  private final MachineLiveness liveness;
+  private final LeaseLapses lapses;
   private final Cloud cloud;
   private final Placer placer;
   private final Drain drain;
@@ -84,17 +85,19 @@
       StateGate gate,
       JobTable jobs,
       Fleet fleet,
-      WorkerControl workers,
+      MachineLiveness liveness,
+      LeaseLapses lapses,
       Cloud cloud,
       Placer placer) {
     this.context = context;
     this.gate = gate;
     this.jobs = jobs;
     this.fleet = fleet;
-    this.workers = workers;
+    this.liveness = liveness;
+    this.lapses = lapses;
     this.cloud = cloud;
     this.placer = placer;
-    drain = new Drain(context, fleet, workers, placer);
+    drain = new Drain(context, fleet, liveness, placer);
   }
 
   void clear() {
@@ -152,7 +155,7 @@
           kinds.computeIfAbsent(
               m.machine.type() + (m.machine.spot() ? " spot" : ""), k -> new int[4]);
       n[0]++;
-      n[1] += workers.usable(m) ? 1 : 0;
+      n[1] += liveness.usable(m) ? 1 : 0;
       n[2] += (int) (m.free().gpus() > 0 ? m.free().gpus() : 0);
       n[3] += (int) (m.free().cpus() > 0 ? m.free().cpus() : 0);
     }
@@ -191,7 +194,7 @@
       }
       MachineType type = fleet.type(m);
       boolean coming = m.report == null && type != null && !overdue(m, type, LATE_BOOT);
-      if (coming || workers.usable(m)) {
+      if (coming || liveness.usable(m)) {
         Cloud.Kind kind = new Cloud.Kind(m.machine.type(), m.machine.zone(), m.machine.spot());
         bins.add(new Bin(m, kind, m.room, m.free()));
       }
@@ -247,7 +250,7 @@
     for (MachineEntry m : fleet.machines()) {
       if (m.report != null && !m.returning) {
         live++;
-        if (workers.suspected(m)) {
+        if (lapses.suspected(m)) {
           suspected.add(m);
         }
       }
@@ -314,7 +317,7 @@
     for (MachineEntry m : fleet.machines()) {
       if (m.report != null) {
         live++;
-        silent += workers.heard(m) ? 0 : 1;
+        silent += liveness.heard(m) ? 0 : 1;
       }
     }
     // When most are silent at once it is this node that is cut off, not they that are lost.
@@ -333,10 +336,10 @@
           cloud.giveBackSilent(m, "it does not come up");
         }
       } else if (believe
-          && !workers.proxied(m)
-          && workers.silentForMs(m) > SILENCE_LEASES * context.leaseMs() + bootMs) {
+          && !lapses.proxied(m)
+          && liveness.silentForMs(m) > SILENCE_LEASES * context.leaseMs() + bootMs) {
         cloud.giveBackSilent(m, "it is silent");
-      } else if (believe && workers.heard(m) && workers.deaf(m) && deafTooLong(m)) {
+      } else if (believe && liveness.heard(m) && liveness.deaf(m) && deafTooLong(m)) {
         cloud.giveBack(m, "commands do not reach it");
       } else if (m.placed.isEmpty() && m.tasks().isEmpty()) {
         Bin bin = packed.get(m);
--- a/src/main/java/eiderfork/core/Preemption.java
+++ b/src/main/java/eiderfork/core/Preemption.java
@@ -210,7 +210,7 @@
       }
     }
     if (job.need().fitsIn(left)) {
-      return new Option(m, List.of(), 0, order);
+      return new Option(m, List.of(), imageLoss(job, m), order);
     }
     able.sort(Comparator.comparingDouble(Victim::loss));
     List<Victim> victims = new ArrayList<>();
@@ -234,7 +234,7 @@
         victims.remove(v);
       }
     }
-    double loss = 0;
+    double loss = imageLoss(job, m);
     List<Reservation> stopped = new ArrayList<>();
     for (Victim v : victims) {
       loss += v.loss;
@@ -283,13 +283,24 @@
     return job.need().fitsIn(left) && balance.strandedBy(job.need(), left) <= 0;
   }
 
+  /**
+   * What the wait for an image throws away. Without it a replica of four GPUs once took the room of
+   * an array on a machine that was still fetching other images, and waited 62 s for its own.
+   */
+  private double imageLoss(Job job, MachineEntry m) {
+    return imageFetch.waitS(job, m) * weight(job);
+  }
+
+  /** The size of a task, in GPUs or in the processors that go with one. */
+  private double weight(Job job) {
+    double gpusWorth = balance.cpusPerGpu() > 0 ? job.need().cpus() / balance.cpusPerGpu() : 1;
+    return Math.max(job.need().gpus(), gpusWorth);
+  }
+
   /** What stopping this task throws away, in seconds of its work weighted by its size. */
   private double loss(Job job, Reservation p) {
     Job its = p.job.job;
-    double weight =
-        Math.max(
-            its.need().gpus(),
-            balance.cpusPerGpu() > 0 ? its.need().cpus() / balance.cpusPerGpu() : 1);
+    double weight = weight(its);
     if (killable(job, p)) {
       if (p.seen != TaskReport.State.RUNNING || p.runningSinceMs == 0) {
         return 0;
--- a/src/main/java/eiderfork/core/Term.java
+++ b/src/main/java/eiderfork/core/Term.java
@@ -29,13 +29,15 @@
     LEADING
   }
 
+  /** The term stands in the bits above these of a token, the per-worker sequence below. */
+  static final int SEQUENCE_BITS = 24;
+
   /** A lease is renewed this many times in its life, so that two lost renewals are survived. */
   private static final int RENEWALS = 3;
 
   /**
    * The share of the workers' lease that the leader's takes is of no more than this many steps.
-   * UserRequests wait for a new leader as well as workers, and not longer where workers' leases are
-   * long.
+   * Users wait for a new leader as well as workers, and not longer where workers' leases are long.
    */
   private static final int MOST_STEPS = 10;
 
@@ -95,6 +97,16 @@
     return term;
   }
 
+  /** The smallest fencing token of this term. */
+  long firstToken() {
+    return term << SEQUENCE_BITS;
+  }
+
+  /** The smallest fencing token of the next term. */
+  long endOfTokens() {
+    return (term + 1) << SEQUENCE_BITS;
+  }
+
   /** The node that leads as far as known, or null. */
   String leader() {
     return leading() ? context.settings.node() : leader;
--- a/src/main/java/eiderfork/core/WorkerControl.java
+++ b/src/main/java/eiderfork/core/WorkerControl.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,23 +22,6 @@
 final class WorkerControl {
   private static final Logger LOG = LoggerFactory.getLogger(WorkerControl.class);
 
-  /** The term stands in the bits above these of a token, the per-worker sequence below. */
-  static final int SEQUENCE_BITS = 24;
-
-  /**
-   * A machine is silent after the longest time between two of its reports, which is a quarter over
-   * the interval, and this many steps more, for a report that was lost or tried another node.
-   */
-  private static final double LONGEST_REPORTS = 1.25;
-
-  private static final double SILENT_STEPS = 1.35;
-
-  /** The share of a lease after which machines for the tasks of a silent one are planned. */
-  private static final double SUSPECT_SHARE = 0.5;
-
-  /** The same where its whole zone can't be reached, for lease proxies take until then to begin. */
-  private static final double APART_SUSPECT_SHARE = 0.75;
-
   /** Jobs that must fail on a machine, and end well elsewhere or not have run, to condemn it. */
   private static final int FAULTY_ERRORS = 2;
 
@@ -51,39 +33,34 @@
   private final JobTable jobs;
   private final Fleet fleet;
   private final Cancellations cancellations;
-  private final Peers peers;
-  private final Consumer<Consumer<Set<String>>> readProxied;
-  private boolean readingProxied;
-  private long readProxiedNotBeforeMs;
+  private final MachineLiveness liveness;
+  private final LeaseLapses lapses;
   private final Runnable kick;
   private boolean rebuilt;
   private long electedMs;
 
-  /**
-   * @param readProxied reads which machines other nodes answer in this one's place
-   */
   WorkerControl(
       Context context,
       Term term,
       JobTable jobs,
       Fleet fleet,
       Cancellations cancellations,
-      Peers peers,
-      Consumer<Consumer<Set<String>>> readProxied,
+      MachineLiveness liveness,
+      LeaseLapses lapses,
       Runnable kick) {
     this.context = context;
     this.term = term;
     this.jobs = jobs;
     this.fleet = fleet;
     this.cancellations = cancellations;
-    this.peers = peers;
-    this.readProxied = readProxied;
+    this.liveness = liveness;
+    this.lapses = lapses;
     this.kick = kick;
   }
 
   void elected() {
     rebuilt = false;
-    readingProxied = false;
+    lapses.elected();
     electedMs = context.nowMs;
   }
 
@@ -91,52 +68,12 @@
     rebuilt = true;
   }
 
-  private long base() {
-    return term.number() << SEQUENCE_BITS;
-  }
-
-  long silentMs() {
-    return (long) (context.reportMs() * LONGEST_REPORTS + context.stepMs() * SILENT_STEPS);
-  }
-
-  /** Whether the worker takes this term's commands, so that no older leader can reach it. */
-  boolean shown(MachineEntry m) {
-    return m.report != null && m.report.token() >= base();
-  }
-
-  boolean heard(MachineEntry m) {
-    return m.heardMs > 0 && context.nowMs - m.heardMs <= silentMs();
-  }
-
-  /** How long ago the machine last reported or was answered in this term. */
-  long silentForMs(MachineEntry m) {
-    return context.nowMs - Math.max(m.heardMs, m.answeredMs);
-  }
-
-  /** Reports come but commands do not arrive. */
-  boolean deaf(MachineEntry m) {
-    return m.deafSinceMs > 0 && context.nowMs - m.deafSinceMs > silentMs();
-  }
-
-  /** Whether tasks may be placed here. */
-  boolean usable(MachineEntry m) {
-    return m.room != null
-        && shown(m)
-        && heard(m)
-        && !deaf(m)
-        && !m.returning
-        && !m.draining
-        && !m.faulty
-        && m.report.noticeS() == null
-        && m.unanswered < 2;
-  }
-
   /** A worker reports to this node, which leads. */
   void report(long ticket, Report report) {
     String name = report.machine().name();
-    if (report.token() >= base() + (1L << SEQUENCE_BITS)) {
+    if (report.token() >= term.endOfTokens()) {
       // Another leader rules this worker, so this one's term is over.
-      term.outdated(report.token() >> SEQUENCE_BITS);
+      term.outdated(report.token() >> Term.SEQUENCE_BITS);
       context.emit(new Effect.RedirectWorker(ticket, null));
       return;
     }
@@ -147,7 +84,7 @@
     MachineEntry m = fleet.known(report.machine());
     boolean news = absorb(m, report);
     if (m.token == 0) {
-      m.token = base() + 1;
+      m.token = term.firstToken() + 1;
     }
     m.answeredMs = context.nowMs;
     // While direct commands are under way, the two ways could overtake each other.
@@ -204,7 +141,7 @@
     } else if (m.deafSinceMs == 0) {
       m.deafSinceMs = context.nowMs;
     }
-    if (shown(m) && (before == null || before.token() < base())) {
+    if (liveness.shown(m) && (before == null || before.token() < term.firstToken())) {
       // From here on only this term's answers renew the lease.
       m.answeredMs = Math.max(m.answeredMs, context.nowMs);
     }
@@ -252,7 +189,7 @@
     }
     boolean surely =
         m.report.session() > p.sentSession && p.sentSession > 0
-            || m.report.token() > Math.max(p.sentToken, base() - 1);
+            || m.report.token() > Math.max(p.sentToken, term.firstToken() - 1);
     if (!surely) {
       if ((!p.wanted() || p.seen != null) && p.sentToken >= m.token) {
         // Outdates the unanswered start, so that its absence can be believed.
@@ -303,7 +240,7 @@
 
   /** Raises the token, so that no unanswered command is executed any more. */
   private void raise(MachineEntry m) {
-    m.token = Math.max(m.token, base()) + 1;
+    m.token = Math.max(m.token, term.firstToken()) + 1;
     m.urgent = true;
   }
 
@@ -341,7 +278,7 @@
       // A late copy of direct commands would start what is cleared anew.
       m.token = m.directToken + 1;
     }
-    if (usable(m)) {
+    if (liveness.usable(m)) {
       for (Reservation p : m.placed) {
         if (p.mayStart() && !p.job.aborting) {
           list.add(new Command.Run(p.id()));
@@ -376,17 +313,19 @@
     for (MachineEntry m : fleet.machines()) {
       free -= m.commanding ? 1 : 0;
     }
-    settleLapsed();
+    if (rebuilt) {
+      lapses.settleLapsed();
+    }
     for (MachineEntry m : fleet.machines()) {
       if (m.addr() == null || m.commanding || context.nowMs < m.commandNotBeforeMs || free <= 0) {
         continue;
       }
-      if (m.report == null || !shown(m)) {
+      if (m.report == null || !liveness.shown(m)) {
         // Reached directly, so that an older leader's token ends there soon.
         if (!m.booting && context.nowMs - electedMs > context.stepMs() && free > forCommands) {
           reach(m);
         }
-      } else if (m.urgent && heard(m)) {
+      } else if (m.urgent && liveness.heard(m)) {
         if (mayCommand()) {
           command(m);
         } else {
@@ -397,96 +336,6 @@
     }
   }
 
-  /** Whether another node answered the machine's worker in this one's place not long ago. */
-  boolean proxied(MachineEntry m) {
-    return m.proxiedMs > 0 && context.nowMs - m.proxiedMs <= 2 * context.stepMs();
-  }
-
-  /**
-   * Whether a machine that is silent may be lost. For a while it is not where its whole zone can't
-   * be reached, and nodes there may answer for this one.
-   */
-  boolean suspected(MachineEntry m) {
-    double share = peers.apart(m.zone()) ? APART_SUSPECT_SHARE : SUSPECT_SHARE;
-    return !proxied(m) && silentForMs(m) > context.leaseMs() * share;
-  }
-
-  /** Takes the tasks off machines whose leases have lapsed, unless a leaseProxy renewed them. */
-  private void settleLapsed() {
-    if (!rebuilt || readingProxied || context.nowMs < readProxiedNotBeforeMs) {
-      return;
-    }
-    List<MachineEntry> over = new ArrayList<>();
-    boolean silent = false;
-    for (MachineEntry m : fleet.machines()) {
-      if (!m.placed.isEmpty()) {
-        if (lapsed(m)) {
-          over.add(m);
-        }
-        silent |= m.report != null && silentForMs(m) > context.leaseMs() * SUSPECT_SHARE;
-      }
-    }
-    if (!mayBeProxied()) {
-      over.forEach(this::settle);
-    } else if (silent || !over.isEmpty()) {
-      readingProxied = true;
-      readProxiedNotBeforeMs = context.nowMs + context.stepMs() / 2;
-      readProxied.accept(names -> proxied(over, names));
-    }
-  }
-
-  /** Only nodes of another zone than the leader's stand in for it. */
-  private boolean mayBeProxied() {
-    return context.settings.peerZones().values().stream()
-        .anyMatch(zone -> !zone.equals(context.settings.zone()));
-  }
-
-  /** What was read after the leases in {@code over} had lapsed as far as this node knows. */
-  private void proxied(List<MachineEntry> over, Set<String> names) {
-    readingProxied = false;
-    if (names == null) {
-      return;
-    }
-    for (String name : names) {
-      MachineEntry m = fleet.get(name);
-      if (m != null) {
-        m.proxiedMs = context.nowMs;
-      }
-    }
-    for (MachineEntry m : over) {
-      if (fleet.get(m.name) == m && !names.contains(m.name) && lapsed(m)) {
-        settle(m);
-      }
-    }
-  }
-
-  private void settle(MachineEntry m) {
-    LOG.info("machine {}: its lease has lapsed", m.name);
-    fleet.settleAll(m);
-    kick.run();
-  }
-
-  /**
-   * The worker has surely killed and forgotten everything that was started before. Where it does
-   * not show this term's token yet, an older leader may have renewed its lease for as long as there
-   * was one: a leader that took over while a zone was cut off once left the zone's replicas
-   * unplaced until the cut was over.
-   */
-  boolean lapsed(MachineEntry m) {
-    long renewedMs = m.answeredMs;
-    if (context.nowMs - renewedMs <= context.leaseMs()) {
-      return false;
-    }
-    if (!shown(m)) {
-      long overMs = peers.olderTermsOverMs();
-      if (overMs == Long.MAX_VALUE) {
-        return false;
-      }
-      renewedMs = Math.max(renewedMs, overMs);
-    }
-    return context.nowMs - renewedMs > Context.surely(context.leaseMs()) + context.stepMs() / 2;
-  }
-
   private void reach(MachineEntry m) {
     m.commanding = true;
     if (m.report == null) {
@@ -494,7 +343,7 @@
           call -> new Effect.AskInspect(call, m.addr(), context.stepMs() * 2),
           reply -> commanded(m, reply, 0));
     } else {
-      m.token = Math.max(m.token, base() + 1);
+      m.token = Math.max(m.token, term.firstToken() + 1);
       send(m, ImmutableList.of());
     }
   }
@@ -542,13 +391,13 @@
     }
     if (reply instanceof Reply.WorkerAnswer says) {
       m.unanswered = 0;
-      if (says.report().token() >= base() + (1L << SEQUENCE_BITS)) {
-        term.outdated(says.report().token() >> SEQUENCE_BITS);
+      if (says.report().token() >= term.endOfTokens()) {
+        term.outdated(says.report().token() >> Term.SEQUENCE_BITS);
         return;
       }
       absorb(m, says.report());
       if (m.token == 0) {
-        m.token = base() + 1;
+        m.token = term.firstToken() + 1;
       }
       if (!says.executed()) {
         m.urgent = true;
--- a/src/test/java/eiderfork/config/SettingsTest.java
+++ b/src/test/java/eiderfork/config/SettingsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -50,6 +51,7 @@
       [deployment.resources]
       cpu_share = 0.2
       sockets = 600
+      memory_mb = 148.0
       """;
 
   private static String complaint(String text) {
@@ -84,13 +86,52 @@
     "lease_s = 10.0,lease_s = 1.5,deployment.workers.lease_s",
     "cancel_s = 30.0,cancel_s = 11.0,deployment.workers.cancel_s",
     "value_kb = 8.0,value_kb = 0.25,deployment.state.value_kb",
-    "txn_ops = 16,txn_ops = 1,deployment.state.txn_ops"
+    "txn_ops = 16,txn_ops = 1,deployment.state.txn_ops",
+    "memory_mb = 148.0,memory_mb = 64.0,deployment.resources.memory_mb",
+    "memory_mb = 148.0,memory_mb = -1,deployment.resources.memory_mb"
   })
   void refusesFiguresThatCannotWorkTogether(String good, String bad, String field) {
     assertTrue(GOOD.contains(good));
     assertTrue(complaint(GOOD.replace(good, bad)).startsWith("s.toml: " + field + ": "));
   }
 
+  @Test
+  void readsTheUsersAims() throws BadSettings {
+    String aims =
+        """
+
+        [[deployment.objectives]]
+        kind = "deadline"
+        class = "batch"
+        share = 0.975
+        times = 1.5
+
+        [[deployment.objectives]]
+        kind = "deadline"
+        class = "batch"
+        share = 0.9
+
+        [[deployment.objectives]]
+        kind = "wait"
+        class = "web"
+        share = 0.9
+        within_s = 8.0
+
+        [[deployment.objectives]]
+        kind = "of-a-later-version"
+        share = 0.9
+        """;
+    Settings settings = SettingsFile.parse("s.toml", GOOD + aims, OperatorSettings.DEFAULTS);
+    assertEquals(List.of(1.0, 1.5), settings.deadlineTimes("batch"));
+    assertEquals(List.of(1.0), settings.deadlineTimes("web"), "the deadline itself");
+    assertEquals(8.0, settings.shortestAimS(Settings.Objective.Kind.WAIT, "web"));
+    assertEquals(
+        Double.MAX_VALUE, settings.shortestAimS(Settings.Objective.Kind.WAIT, "batch"), "no aim");
+    assertTrue(
+        complaint(GOOD + aims.replace("times = 1.5", "times = \"often\""))
+            .startsWith("s.toml: deployment.objectives.times: "));
+  }
+
   @Test
   void readsOperatorsSettingsWithDefaults() throws BadSettings {
     OperatorSettings own = OperatorFile.parse("o.edn", "{:headroom 2.5 :spot false} ; ours");
--- a/src/test/java/eiderfork/core/AnswerTest.java
+++ b/src/test/java/eiderfork/core/AnswerTest.java
@@ -21,7 +21,7 @@
     return LongStream.rangeClosed(1, 20);
   }
 
-  /** UserRequests poll once more: every job is over, and every node says so. */
+  /** Users poll once more: every job is over, and every node says so. */
   private static void allOver(World world, List<Job> jobs) {
     jobs.forEach(job -> world.queryAll(job.uid()));
     world.run(3);
--- a/src/test/java/eiderfork/core/BudgetTest.java
+++ b/src/test/java/eiderfork/core/BudgetTest.java
@@ -5,11 +5,17 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.config.Settings;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Priority;
 import eiderfork.model.Record;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The limits on requests to the state service and the cloud are kept. */
 class BudgetTest {
@@ -100,4 +106,26 @@
         urgency,
         reply -> {});
   }
+
+  /** Sixty requests a second have to do for seven nodes that are all started anew at once. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void sevenNodesThatRestartAtOnceKeepWithinTheRequestRate(long seed) {
+    Settings settings =
+        World.settings("roost-0", World.QUICK, new Settings.StateLimits(60, 20, 32), 0.34, 800, 7);
+    World world = new World(seed, settings, 7);
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 1; i <= 40; i++) {
+      jobs.add(World.job(i, JobKind.SERVICE, 2, 0, "blue", Priority.HIGH, true, false));
+    }
+    jobs.forEach(world::submit);
+    world.run(40);
+    world.state.requestLimit = new TokenBucket(60, 60, world.nowMs);
+    for (int restart = 0; restart < 3; restart++) {
+      world.all().forEach(node -> world.crash(node, 300));
+      world.run(15);
+    }
+    assertEquals(0, world.state.overLimit);
+    Outcome.allServed(world, jobs);
+  }
 }
--- a/src/test/java/eiderfork/core/ControllerTest.java
+++ b/src/test/java/eiderfork/core/ControllerTest.java
@@ -60,16 +60,11 @@
     JobTable jobs = new JobTable(context, gate, term);
     Fleet fleet = new Fleet(context, jobs);
     Cancellations cancellations = new Cancellations(context, uid -> {});
+    MachineLiveness liveness = new MachineLiveness(context, term);
+    Peers peers = new Peers(context, term, cancellations);
+    LeaseLapses lapses = new LeaseLapses(context, fleet, peers, liveness, then -> {}, () -> {});
     WorkerControl workers =
-        new WorkerControl(
-            context,
-            term,
-            jobs,
-            fleet,
-            cancellations,
-            new Peers(context, term, cancellations),
-            then -> {},
-            () -> {});
+        new WorkerControl(context, term, jobs, fleet, cancellations, liveness, lapses, () -> {});
     for (int i = 0; i < 100; i++) {
       fleet.known(new Machine("n-" + i, "n-" + i + ":1", "g4", "a", false));
     }
--- a/src/test/java/eiderfork/core/FakeState.java
+++ b/src/test/java/eiderfork/core/FakeState.java
@@ -11,6 +11,12 @@
 
 /** The state service, written from the protocol. */
 final class FakeState {
+  /** The service's limit on requests, with bursts of a second's worth; null for none. */
+  TokenBucket requestLimit;
+
+  /** How many requests were refused for that limit. */
+  int overLimit;
+
   private record Entry(Record record, long version, long lease) {}
 
   private record Watcher(String prefix, long after, long untilMs, Consumer<Reply> then) {}
@@ -112,6 +118,11 @@
   }
 
   void execute(StateOp op, long nowMs, Consumer<Reply> then) {
+    if (requestLimit != null && !requestLimit.take(1, nowMs)) {
+      overLimit++;
+      then.accept(new Reply.Refused(429));
+      return;
+    }
     if (out()) {
       if (op instanceof StateOp.Watch w) {
         watchers.add(new Watcher(w.prefix(), w.after(), nowMs + w.waitMs(), then));
--- a/src/test/java/eiderfork/core/TakeoverTest.java
+++ b/src/test/java/eiderfork/core/TakeoverTest.java
@@ -160,9 +160,7 @@
     Outcome.allServed(world, jobs);
   }
 
-  /**
-   * WorkerControl can't open connections to any controller, while direct commands still reach them.
-   */
+  /** Workers can't open connections to any controller, while direct commands still reach them. */
   @Test
   void machinesThatReachNobodyAreNotStartedOnTwice() {
     World world = new World(4);
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -710,7 +710,7 @@
     return new Reply.Hosts(entries.build(), false);
   }
 
-  // WorkerControl.
+  // Workers.
 
   List<FakeWorker> workers() {
     List<FakeWorker> live = new ArrayList<>();
@@ -837,7 +837,7 @@
     }
   }
 
-  // UserRequests.
+  // Users.
 
   /** A user submits until the job is accepted or refused for good. */
   void submit(Job job) {
--- a/src/test/java/eiderfork/wire/WireTest.java
+++ b/src/test/java/eiderfork/wire/WireTest.java
@@ -77,7 +77,9 @@
         "\"Crew\":\"vision\",|",
         "\"Breeds\":[\"g8\"]|\"Breeds\":\"g8\"",
         "{\"Uid\"|[{\"Uid\"",
-        "\"DueS\":900.0|\"DueS\":[]"
+        "\"DueS\":900.0|\"DueS\":[]",
+        "\"DueS\":900.0|\"DueS\":\"soon\"",
+        "\"DueS\":900.0|\"DueS\":-1"
       })
   void refusesAJobWithAFieldThatIsMissingOrInvalid(String change) {
     String[] parts = change.split("\\|", 2);
@@ -85,6 +87,13 @@
     assertThrows(BadMessage.class, () -> UserWire.job(bytes(broken)));
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"\"DueS\":null,", ""})
+  void aJobWithoutADeadlineHasNone(String instead) throws BadMessage {
+    Job job = UserWire.job(bytes(JOB.replace("\"DueS\":900.0,", instead)));
+    assertNull(job.deadlineS());
+  }
+
   @Test
   void readsAReport() throws BadMessage {
     Report report =
