Starts of services and ends of jobs are written before starts of arrays

Change: starts of services and ends of whole jobs go first; the ends of some of a job's tasks are not handed over while writes wait. Test: with four writes a second and 40 arrays, ends were written 31.9 s late before, now within 3 s.

--- a/src/main/java/eiderfork/core/Cloud.java
+++ b/src/main/java/eiderfork/core/Cloud.java
@@ -260,7 +260,7 @@
     gate.send(
         new StateOp.Transact(
             ImmutableList.of(term.condition()), ImmutableList.of(StateOp.Change.remove(key))),
-        Urgency.DONE,
+        Urgency.CLEANUP,
         reply -> {
           if (reply instanceof Reply.Conflict) {
             term.conditionFailed();
@@ -449,7 +449,7 @@
         new StateOp.Transact(
             ImmutableList.of(term.condition()),
             ImmutableList.of(StateOp.Change.put(Keys.TYPES, fleet.typesRecord()))),
-        Urgency.DONE,
+        Urgency.CLEANUP,
         reply -> typesStored = reply instanceof Reply.Committed);
   }
 
--- a/src/main/java/eiderfork/core/JobEntry.java
+++ b/src/main/java/eiderfork/core/JobEntry.java
@@ -16,8 +16,8 @@
 final class JobEntry {
   final Job job;
 
-  /** The same object for all jobs of this shape. */
-  final TaskProfile shape;
+  /** The same object for all jobs of this profile. */
+  final TaskProfile profile;
 
   /** Jobs of one rank go in the order in which the state service took them. */
   final long order;
@@ -75,9 +75,9 @@
   int failures;
   long notBeforeMs;
 
-  JobEntry(Job job, TaskProfile shape, long order, long sinceMs, Backoff writeBackoff) {
+  JobEntry(Job job, TaskProfile profile, long order, long sinceMs, Backoff writeBackoff) {
     this.job = job;
-    this.shape = shape;
+    this.profile = profile;
     this.order = order;
     this.sinceMs = sinceMs;
     this.writeBackoff = writeBackoff;
--- a/src/main/java/eiderfork/core/JobTable.java
+++ b/src/main/java/eiderfork/core/JobTable.java
@@ -29,7 +29,7 @@
   /** Jobs that still have something to do, so that rounds skip the long past. */
   private final Map<String, JobEntry> active = new LinkedHashMap<>();
 
-  private final Map<TaskProfile, TaskProfile> shapes = new HashMap<>();
+  private final Map<TaskProfile, TaskProfile> profiles = new HashMap<>();
 
   /** Jobs of which a stored record can't be read. */
   private final Set<String> frozen = new HashSet<>();
@@ -43,7 +43,7 @@
   void clear() {
     jobs.clear();
     active.clear();
-    shapes.clear();
+    profiles.clear();
     frozen.clear();
   }
 
@@ -84,8 +84,8 @@
       return known;
     }
     Backoff backoff = new Backoff(context.stepMs() / 5, context.stepMs() * 2);
-    TaskProfile shape = shapes.computeIfAbsent(TaskProfile.of(job), s -> s);
-    JobEntry entry = new JobEntry(job, shape, order, context.nowMs, backoff);
+    TaskProfile profile = profiles.computeIfAbsent(TaskProfile.of(job), s -> s);
+    JobEntry entry = new JobEntry(job, profile, order, context.nowMs, backoff);
     jobs.put(job.uid(), entry);
     active.put(job.uid(), entry);
     return entry;
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -26,6 +26,14 @@
    */
   private static final double SEARCH_SHARE = 0.1;
 
+  /** Writes that wait for less than this share of a step leave room for what is not urgent. */
+  private static final double IDLE_SHARE = 0.2;
+
+  /**
+   * How long the ends of some of a job's tasks may be left unwritten while writes wait, in steps.
+   */
+  private static final int ENDS_STEPS = 5;
+
   private final Context context;
   private final Term term;
   private final StateGate gate;
@@ -116,7 +124,7 @@
         place(entry, preemption);
       }
       if (entry.placed.size() > before) {
-        jobs.write(entry, Urgency.START);
+        jobs.write(entry, startUrgency(entry));
       } else {
         left |= writeEnds(entry);
       }
@@ -137,12 +145,32 @@
     if (mayNotWrite(entry)) {
       return entry.writing && entry.dirty;
     }
-    if (entry.dirty && context.nowMs - entry.writtenMs >= collectMs()) {
-      jobs.write(entry, Urgency.DONE);
+    if (entry.dirty && entry.allFinished()) {
+      jobs.write(entry, Urgency.START);
+    } else if (entry.dirty && mayWriteEndsOfSome(entry)) {
+      jobs.write(entry, Urgency.BATCH);
     }
     return entry.dirty;
   }
 
+  /**
+   * Whether the ends of some of a job's tasks may be written now. While writes wait they are left
+   * to the job's next start or end, which carry them: handed over, they would hold up starts, and a
+   * job whose last task ends meanwhile could only be written behind them. On a full write rate
+   * users were told 6 to 12 s late that their arrays were done. They are not left for long, since a
+   * team's tasks count until their ends are written.
+   */
+  private boolean mayWriteEndsOfSome(JobEntry entry) {
+    long sinceWrittenMs = context.nowMs - entry.writtenMs;
+    long waitMs = gate.waitMs(Urgency.BATCH);
+    return sinceWrittenMs >= collectMs() && waitMs <= IDLE_SHARE * context.stepMs()
+        || sinceWrittenMs >= ENDS_STEPS * context.stepMs() && waitMs <= context.stepMs();
+  }
+
+  private static Urgency startUrgency(JobEntry entry) {
+    return entry.job.kind() == JobKind.ARRAY ? Urgency.BATCH : Urgency.START;
+  }
+
   private long collectMs() {
     return (long) (context.stepMs() * context.settings.operator().roundShare());
   }
@@ -150,7 +178,7 @@
   private boolean mayPlace(JobEntry entry) {
     return !entry.waiting.isEmpty()
         && context.nowMs >= entry.notBeforeMs
-        && gate.waitMs(Urgency.START) <= context.stepMs();
+        && gate.waitMs(startUrgency(entry)) <= context.stepMs();
   }
 
   /** The jobs with something to do, the most urgent first. */
--- a/src/main/java/eiderfork/core/Preemption.java
+++ b/src/main/java/eiderfork/core/Preemption.java
@@ -66,8 +66,8 @@
   private final Map<MachineEntry, Resources> trying = new HashMap<>();
 
   /**
-   * For replicas of a shape, zone by zone, the first machine that may take one more of them; those
-   * before it are full for good.
+   * For replicas of a profile, zone by zone, the first machine that may take one more of them;
+   * those before it are full for good.
    */
   private final Map<TaskProfile, Map<String, int[]>> firstOpen =
       new Reference2ObjectOpenHashMap<>();
@@ -255,7 +255,7 @@
     String zone = p.machine.zone();
     int[] first =
         firstOpen
-            .computeIfAbsent(p.job.shape, shape -> new HashMap<>())
+            .computeIfAbsent(p.job.profile, profile -> new HashMap<>())
             .computeIfAbsent(zone, z -> new int[1]);
     for (int i = first[0]; i < machines.size(); i++) {
       MachineEntry m = machines.get(i);
--- a/src/test/java/eiderfork/core/BudgetTest.java
+++ b/src/test/java/eiderfork/core/BudgetTest.java
@@ -11,7 +11,9 @@
 import eiderfork.model.Priority;
 import eiderfork.model.Record;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -46,7 +48,7 @@
     StateGate gate = new StateGate(context);
     gate.leading(true);
     for (int i = 0; i < 200; i++) {
-      write(gate, "done/" + i, Urgency.DONE);
+      write(gate, "batch/" + i, Urgency.BATCH);
     }
     int burst = context.takeEffects().size();
     assertTrue(burst < 200, "the rate holds some back");
@@ -60,7 +62,7 @@
       keys.add(it.changes().get(0).key());
     }
     assertEquals("abort/1", keys.get(0));
-    assertEquals("done/" + burst, keys.get(1));
+    assertEquals("batch/" + burst, keys.get(1));
   }
 
   /** Polls once held submissions up for seconds at nodes that could not reach the leader. */
@@ -128,4 +130,32 @@
     assertEquals(0, world.state.overLimit);
     Outcome.allServed(world, jobs);
   }
+
+  /** Behind the starts of other arrays, ends were once written 6 to 12 s late. */
+  @Test
+  void theEndOfAJobIsWrittenAtOnceHoweverManyArraysWantToStart() {
+    Settings settings =
+        World.settings("roost-0", World.QUICK, new Settings.StateLimits(200, 4, 8), 0.2, 160, 3);
+    World world = new World(5, settings);
+    world.capacity = 4;
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 1; i <= 40; i++) {
+      jobs.add(World.job(i, JobKind.ARRAY, 6, 1));
+    }
+    jobs.forEach(world::submit);
+    Map<Job, Long> finishedMs = new HashMap<>();
+    long mostLateMs = 0;
+    for (int i = 0; i < 1200; i++) {
+      world.run(0.1);
+      for (Job job : jobs) {
+        if (world.finished(job) && !world.committedDone(job)) {
+          finishedMs.putIfAbsent(job, world.nowMs);
+          mostLateMs = Math.max(mostLateMs, world.nowMs - finishedMs.get(job));
+        }
+      }
+    }
+    assertTrue(jobs.stream().allMatch(world::committedDone));
+    assertTrue(mostLateMs <= 3000, mostLateMs + " ms until the end of a job was written");
+    Outcome.rulesHold(world);
+  }
 }
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -262,6 +262,17 @@
     return jobs.get(uid);
   }
 
+  /** Whether every task of an array has ended well, whoever knows of it. */
+  boolean finished(Job job) {
+    return java.util.stream.IntStream.range(0, job.tasks())
+        .allMatch(index -> results.contains(new TaskId(job.uid(), index)));
+  }
+
+  /** Whether the state service holds that the job is done. */
+  boolean committedDone(Job job) {
+    return state.get(Keys.alloc(job.uid())) instanceof Record.Alloc alloc && alloc.done();
+  }
+
   boolean failing(Job job, Machine machine) {
     return badJobs.contains(job.uid()) || badMachines.contains(machine.name());
   }
