--- /dev/null
+++ b/src/test/java/eiderfork/core/UserRequestsTest.java
@@ -0,0 +1,91 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.JobStatus;
+import eiderfork.model.Record;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Cancellations that a node carries out itself, against what the leader writes meanwhile. */
+class UserRequestsTest {
+  private static final Job JOB = World.job(1, JobKind.ARRAY, 2, 1);
+
+  private final Context context = new Context(World.settings("roost-0"), new Random(1), 1_000_000);
+  private final StateGate gate = new StateGate(context);
+  private final Term term = new Term(context, gate, null);
+  private final JobTable jobs = new JobTable(context, gate, term);
+  private final UserRequests requests =
+      new UserRequests(
+          context,
+          term,
+          gate,
+          jobs,
+          new Fleet(context, jobs),
+          null,
+          null,
+          new Cancellations(context, uid -> {}),
+          () -> {});
+  private final List<UserAnswer> answers = new ArrayList<>();
+
+  private StateOp next(Reply replyToLast, long call) {
+    if (replyToLast != null) {
+      context.answered(call, replyToLast);
+    }
+    context.nowMs += 1000;
+    gate.pump();
+    List<Effect> effects = context.takeEffects();
+    assertEquals(1, effects.size());
+    lastCall = ((Effect.AskState) effects.get(0)).call();
+    return ((Effect.AskState) effects.get(0)).op();
+  }
+
+  private long lastCall;
+
+  /** Asks to cancel, and goes on until the cancellation is to be written. */
+  private StateOp.Transact abort(Record.Alloc alloc, long allocVersion) {
+    requests.take(new Input.Abort(1, JOB.uid()), true, answers::add);
+    assertEquals(new StateOp.Get(Keys.job(JOB.uid())), next(null, 0));
+    Reply job = new Reply.Value(new Record.JobSpec(JOB), 3);
+    assertEquals(new StateOp.Get(Keys.alloc(JOB.uid())), next(job, lastCall));
+    return (StateOp.Transact) next(new Reply.Value(alloc, allocVersion), lastCall);
+  }
+
+  private static Record.Alloc alloc(boolean done) {
+    return new Record.Alloc(1, done, ImmutableList.of(), ImmutableList.of());
+  }
+
+  /** Without the condition on alloc a job that was told to be done could be cancelled after it. */
+  @Test
+  void aCancellationIsWrittenOnlyWhereTheJobIsAsItWasRead() {
+    StateOp.Transact write = abort(alloc(false), 9);
+    assertEquals(
+        ImmutableList.of(
+            new StateOp.Condition(Keys.abort(JOB.uid()), 0),
+            new StateOp.Condition(Keys.alloc(JOB.uid()), 9)),
+        write.conditions());
+  }
+
+  @Test
+  void aJobThatIsDoneMeanwhileIsNotCancelled() {
+    abort(alloc(false), 9);
+    Reply conflict = new Reply.Conflict(ImmutableList.of(Keys.alloc(JOB.uid())));
+    assertEquals(new StateOp.Get(Keys.alloc(JOB.uid())), next(conflict, lastCall));
+    context.answered(lastCall, new Reply.Value(alloc(true), 10));
+    assertEquals(JobStatus.Stance.DONE, answers.get(0).job().stance());
+  }
+
+  @Test
+  void anUnansweredCancellationIsNotConfirmed() {
+    abort(alloc(false), 9);
+    context.answered(lastCall, new Reply.Unanswered());
+    assertEquals(503, answers.get(0).status());
+    assertTrue(context.takeEffects().isEmpty());
+  }
+}
--- /dev/null
+++ b/src/test/java/eiderfork/core/WorkerControlTest.java
@@ -0,0 +1,220 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.model.Attempt;
+import eiderfork.model.Command;
+import eiderfork.model.JobKind;
+import eiderfork.model.Machine;
+import eiderfork.model.MachineType;
+import eiderfork.model.Report;
+import eiderfork.model.Resources;
+import eiderfork.model.TaskReport;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The guards between a leader and one worker, each looked at alone: in the histories of other tests
+ * another guard often stands behind the one that fails.
+ */
+class WorkerControlTest {
+  private static final Machine MACHINE = new Machine("n-1", "n-1:1", "g4", "a", false);
+  private static final long SESSION = 1;
+
+  private final Context context = new Context(World.settings("roost-0"), new Random(1), 1_000_000);
+  private final StateGate gate = new StateGate(context);
+  private final Term term = new Term(context, gate, new NoListener());
+  private final JobTable jobs = new JobTable(context, gate, term);
+  private final Fleet fleet = new Fleet(context, jobs);
+  private final Cancellations cancellations = new Cancellations(context, uid -> {});
+  private final MachineLiveness liveness = new MachineLiveness(context, term);
+  private final LeaseLapses lapses =
+      new LeaseLapses(
+          context, fleet, new Peers(context, term, cancellations), liveness, then -> {}, () -> {});
+  private final WorkerControl workers =
+      new WorkerControl(context, term, jobs, fleet, cancellations, liveness, lapses, () -> {});
+
+  private JobEntry job;
+  private MachineEntry machine;
+  private long firstToken;
+
+  private static final class NoListener implements Term.Listener {
+    @Override
+    public void elected() {}
+
+    @Override
+    public void deposed() {}
+  }
+
+  /** This node leads term 1 and knows a job of two tasks and an empty machine. */
+  @BeforeEach
+  void lead() {
+    term.tick();
+    answer(new Reply.Value(null, 0));
+    answer(new Reply.Value(null, 0));
+    answer(new Reply.Leased(7));
+    answer(new Reply.Committed(1));
+    // The leader's share of the rates fills up.
+    context.nowMs += 500;
+    assertTrue(term.sure());
+    context.takeEffects();
+    workers.elected();
+    workers.rebuilt();
+    fleet.types(
+        ImmutableList.of(
+            new MachineType("g4", new Resources(4, 4, 64), 50, 2, 8, 3, 4, ImmutableList.of("a"))));
+    job = jobs.add(World.job(1, JobKind.ARRAY, 2, 1), 1);
+    firstToken = term.firstToken() + 1;
+    report(SESSION, 1, firstToken);
+    machine = fleet.get("n-1");
+  }
+
+  private <T extends Effect> List<T> effects(Class<T> kind) {
+    List<T> found = new ArrayList<>();
+    context.takeEffects().stream().filter(kind::isInstance).map(kind::cast).forEach(found::add);
+    return found;
+  }
+
+  /** Answers the one call to the state service that is open. */
+  private void answer(Reply reply) {
+    List<Effect.AskState> asked = effects(Effect.AskState.class);
+    assertEquals(1, asked.size());
+    context.answered(asked.get(0).call(), reply);
+  }
+
+  private List<Command> report(long session, long seq, long token, TaskReport... tasks) {
+    context.takeEffects();
+    workers.report(1, new Report(MACHINE, session, seq, token, null, ImmutableList.copyOf(tasks)));
+    List<Effect.AnswerWorker> answers = effects(Effect.AnswerWorker.class);
+    return answers.isEmpty() ? List.of() : answers.get(0).commands();
+  }
+
+  private static TaskReport running(Reservation task) {
+    return new TaskReport(task.id(), TaskReport.State.RUNNING, null, false);
+  }
+
+  private static TaskReport done(Reservation task) {
+    return new TaskReport(task.id(), TaskReport.State.ENDED, TaskReport.Cause.DONE, false);
+  }
+
+  private Reservation reserved() {
+    Reservation task = jobs.propose(job, 0, 1, machine);
+    jobs.write(job, Urgency.START);
+    answer(new Reply.Committed(5));
+    assertTrue(task.committed);
+    return task;
+  }
+
+  /** A reserved task that was started and is seen to run, by report 2. */
+  private Reservation started() {
+    Reservation task = reserved();
+    report(SESSION, 2, firstToken);
+    report(SESSION, 3, firstToken, running(task));
+    assertEquals(TaskReport.State.RUNNING, task.seen);
+    return task;
+  }
+
+  @Test
+  void aStartIsSentOnlyAfterItsReservationIsCommitted() {
+    Reservation task = jobs.propose(job, 0, 1, machine);
+    jobs.write(job, Urgency.START);
+    long call = effects(Effect.AskState.class).get(0).call();
+    assertEquals(List.of(), report(SESSION, 2, firstToken));
+    context.answered(call, new Reply.Committed(5));
+    assertEquals(List.of(new Command.Run(task.id())), report(SESSION, 3, firstToken));
+  }
+
+  @Test
+  void anOlderReportThatComesLaterChangesNothing() {
+    Reservation task = started();
+    report(SESSION, 2, firstToken + 100);
+    assertEquals(task, job.placed.get(0), "an older sequence number");
+    report(SESSION + 1, 1, firstToken, running(task));
+    report(SESSION, 9, firstToken + 100);
+    assertEquals(task, job.placed.get(0), "an older session");
+  }
+
+  @Test
+  void aTaskThatIsMissingIsBelievedGoneOnlyWhereItsStartCanNotFollow() {
+    Reservation task = started();
+    report(SESSION, 4, firstToken);
+    assertEquals(task, job.placed.get(0), "the start may still be under way");
+    assertTrue(machine.token > task.sentToken, "a higher token outdates the start");
+    report(SESSION, 5, machine.token);
+    assertNull(job.placed.get(0));
+  }
+
+  @Test
+  void aTaskThatIsMissingInALaterSessionIsGone() {
+    started();
+    report(SESSION + 1, 1, firstToken);
+    assertNull(job.placed.get(0));
+  }
+
+  /** A leader that takes over before the write would start the task again. */
+  @Test
+  void anEndCountsForTheQuotaUntilItIsWritten() {
+    Reservation task = started();
+    report(SESSION, 4, firstToken, done(task));
+    assertNull(job.placed.get(0));
+    assertEquals(1, job.counted());
+    jobs.write(job, Urgency.BATCH);
+    assertEquals(1, job.counted());
+    answer(new Reply.Committed(6));
+    assertEquals(0, job.counted());
+  }
+
+  /** Once cleared, a late copy of its start would run the task again. */
+  @Test
+  void anEndIsClearedOnlyAfterItIsWritten() {
+    Reservation task = started();
+    Attempt attempt = task.id();
+    assertEquals(List.of(), report(SESSION, 4, firstToken, done(task)));
+    jobs.write(job, Urgency.BATCH);
+    long call = effects(Effect.AskState.class).get(0).call();
+    assertEquals(List.of(), report(SESSION, 5, firstToken, done(task)));
+    context.answered(call, new Reply.Committed(6));
+    assertEquals(List.of(new Command.Clear(attempt)), report(SESSION, 6, firstToken, done(task)));
+  }
+
+  @Test
+  void aTokenOfALaterTermEndsThisOne() {
+    report(SESSION, 2, term.endOfTokens());
+    assertFalse(term.leading());
+  }
+
+  @Test
+  void anUnansweredCommandIsOutdatedByAHigherToken() {
+    Reservation task = reserved();
+    machine.urgent = true;
+    workers.tick();
+    Effect.AskCommands sent = effects(Effect.AskCommands.class).get(0);
+    assertEquals(ImmutableList.of(new Command.Run(task.id())), sent.commands());
+    context.answered(sent.call(), new Reply.Unanswered());
+    assertTrue(machine.token > sent.token());
+  }
+
+  /** Without any one of them a leader that is deposed, late or cancelled against would write. */
+  @Test
+  void aReservationIsWrittenUnderTheLeadItsOwnVersionAndNoCancellation() {
+    reserved();
+    jobs.propose(job, 1, 2, machine);
+    jobs.write(job, Urgency.START);
+    StateOp.Transact write = (StateOp.Transact) effects(Effect.AskState.class).get(0).op();
+    String uid = job.job.uid();
+    assertEquals(
+        ImmutableList.of(
+            term.condition(),
+            new StateOp.Condition(Keys.alloc(uid), 5),
+            new StateOp.Condition(Keys.abort(uid), 0)),
+        write.conditions());
+    assertEquals(new StateOp.Condition(Keys.LEADER, 1), term.condition());
+  }
+}
