--- a/src/test/java/eiderfork/core/AllocSizeTest.java
+++ b/src/test/java/eiderfork/core/AllocSizeTest.java
@@ -21,7 +21,7 @@
   @CsvSource({"1,180,180", "2,180,180", "3,180,180", "4,25,25", "5,2000,150", "6,40000,100"})
   void everyRecordFitsIntoAValue(long seed, int tasks, int atLeastAtOnce) {
     Random random = new Random(seed);
-    Job job = World.job(1, JobKind.ARRAY, tasks, 1);
+    Job job = Samples.job(1, JobKind.ARRAY, tasks, 1);
     JobEntry entry = new JobEntry(job, TaskProfile.of(job), 1, 0, new Backoff(1, 2));
     int most = 0;
     long attempt = 0;
--- a/src/test/java/eiderfork/core/AnswerTest.java
+++ b/src/test/java/eiderfork/core/AnswerTest.java
@@ -37,7 +37,7 @@
   private static List<Job> load(World world, int jobs) {
     List<Job> all = new ArrayList<>();
     for (int i = 1; i <= jobs; i++) {
-      Job job = World.job(i, i % 3 == 0 ? JobKind.SERVICE : JobKind.ARRAY, 1 + i % 3, i % 2);
+      Job job = Samples.job(i, i % 3 == 0 ? JobKind.SERVICE : JobKind.ARRAY, 1 + i % 3, i % 2);
       all.add(job);
       world.at(500L * i, () -> world.submit(job));
       if (job.kind() == JobKind.SERVICE) {
@@ -118,9 +118,9 @@
       world.closeLooks = true;
       // The slower the state service, the wider the moment between the read and the write.
       world.stateDelayMs = 80 * (i / 3);
-      world.submit(World.job(1, JobKind.SERVICE, 1, 1));
+      world.submit(Samples.job(1, JobKind.SERVICE, 1, 1));
       world.run(20);
-      Job job = World.job(2, JobKind.ARRAY, 1, 1);
+      Job job = Samples.job(2, JobKind.ARRAY, 1, 1);
       world.submit(job);
       // It fetches for 0.7 s and runs for 4 s.
       world.at(4600 + afterMs, () -> world.abortAt(at, job.uid()));
@@ -144,7 +144,7 @@
     world.closeLooks = true;
     world.run(10);
     for (int i = 1; i <= 10; i++) {
-      Job job = World.job(i, JobKind.SERVICE, 2, 1);
+      Job job = Samples.job(i, JobKind.SERVICE, 2, 1);
       world.submit(job);
       world.at(i * 3L, () -> world.abort(job.uid()));
       world.run(1);
@@ -162,8 +162,8 @@
   @Test
   void oddRequestsAreAnsweredInTheMiddleOfATakeover() {
     World world = new World(3);
-    Job done = World.job(1, JobKind.ARRAY, 1, 1);
-    Job running = World.job(2, JobKind.SERVICE, 1, 1);
+    Job done = Samples.job(1, JobKind.ARRAY, 1, 1);
+    Job running = Samples.job(2, JobKind.SERVICE, 1, 1);
     world.submit(done);
     world.submit(running);
     world.run(30);
@@ -171,7 +171,7 @@
     for (int i = 0; i < 200; i++) {
       world.at(i * 40L, () -> world.abort(done.uid()));
       world.at(i * 40L, () -> world.submit(running));
-      Job impossible = World.job(100 + i, JobKind.SERVICE, 1, 64);
+      Job impossible = Samples.job(100 + i, JobKind.SERVICE, 1, 64);
       world.at(i * 40L, () -> world.submit(impossible));
       world.at(i * 40L, () -> world.query("run-009999"));
     }
--- a/src/test/java/eiderfork/core/BudgetTest.java
+++ b/src/test/java/eiderfork/core/BudgetTest.java
@@ -44,7 +44,7 @@
 
   @Test
   void theMostUrgentWriteGoesFirstWhenTheRateIsFull() {
-    Context context = new Context(World.settings("roost-0"), new Random(1), 0);
+    Context context = new Context(Samples.settings("roost-0"), new Random(1), 0);
     StateGate gate = new StateGate(context);
     gate.leading(true);
     for (int i = 0; i < 200; i++) {
@@ -68,7 +68,7 @@
   /** Polls once held submissions up for seconds at nodes that could not reach the leader. */
   @Test
   void aNodeOnItsOwnRefusesPollsItCannotServeAndTakesSubmissionsFirst() {
-    Context context = new Context(World.settings("roost-0"), new Random(1), 0);
+    Context context = new Context(Samples.settings("roost-0"), new Random(1), 0);
     StateGate gate = new StateGate(context);
     Term term = new Term(context, gate, null);
     JobTable jobs = new JobTable(context, gate, term);
@@ -92,7 +92,7 @@
     assertTrue(refused.stream().allMatch(a -> a.status() == 503 && a.retryAfterS() > 0));
     context.takeEffects();
     users.take(
-        new Input.Submit(1, World.job(999, eiderfork.model.JobKind.SERVICE, 1, 1), new byte[0]),
+        new Input.Submit(1, Samples.job(999, eiderfork.model.JobKind.SERVICE, 1, 1), new byte[0]),
         true,
         refused::add);
     context.nowMs += 100;
@@ -114,11 +114,12 @@
   @ValueSource(longs = {1, 2, 3, 4, 5})
   void sevenNodesThatRestartAtOnceKeepWithinTheRequestRate(long seed) {
     Settings settings =
-        World.settings("roost-0", World.QUICK, new Settings.StateLimits(60, 20, 32), 0.34, 800, 7);
+        Samples.settings(
+            "roost-0", Samples.QUICK, new Settings.StateLimits(60, 20, 32), 0.34, 800, 7);
     World world = new World(seed, settings, 7);
     List<Job> jobs = new ArrayList<>();
     for (int i = 1; i <= 40; i++) {
-      jobs.add(World.job(i, JobKind.SERVICE, 2, 0, "blue", Priority.HIGH, true, false));
+      jobs.add(Samples.job(i, JobKind.SERVICE, 2, 0, "blue", Priority.HIGH, true, false));
     }
     jobs.forEach(world::submit);
     world.run(40);
@@ -135,12 +136,13 @@
   @Test
   void theEndOfAJobIsWrittenAtOnceHoweverManyArraysWantToStart() {
     Settings settings =
-        World.settings("roost-0", World.QUICK, new Settings.StateLimits(200, 4, 8), 0.2, 160, 3);
+        Samples.settings(
+            "roost-0", Samples.QUICK, new Settings.StateLimits(200, 4, 8), 0.2, 160, 3);
     World world = new World(5, settings);
-    world.capacity = 4;
+    world.cloud.capacity = 4;
     List<Job> jobs = new ArrayList<>();
     for (int i = 1; i <= 40; i++) {
-      jobs.add(World.job(i, JobKind.ARRAY, 6, 1));
+      jobs.add(Samples.job(i, JobKind.ARRAY, 6, 1));
     }
     jobs.forEach(world::submit);
     Map<Job, Long> finishedMs = new HashMap<>();
--- a/src/test/java/eiderfork/core/CancellationTest.java
+++ b/src/test/java/eiderfork/core/CancellationTest.java
@@ -25,8 +25,8 @@
   }
 
   private void twoServicesRun() {
-    kept = World.job(1, JobKind.SERVICE, 3, 1);
-    cancelled = World.job(2, JobKind.SERVICE, 3, 1);
+    kept = Samples.job(1, JobKind.SERVICE, 3, 1);
+    cancelled = Samples.job(2, JobKind.SERVICE, 3, 1);
     world.submit(kept);
     world.submit(cancelled);
     world.run(30);
--- a/src/test/java/eiderfork/core/CancellationsTest.java
+++ b/src/test/java/eiderfork/core/CancellationsTest.java
@@ -12,9 +12,9 @@
 
 /** What peers tell each other of cancellations, and up to when that proves anything. */
 class CancellationsTest {
-  private final Context leaderTime = new Context(World.settings("roost-0"), new Random(1), 1000);
-  private final Context peerTime = new Context(World.settings("roost-1"), new Random(2), 1000);
-  private final Context otherTime = new Context(World.settings("roost-2"), new Random(3), 1000);
+  private final Context leaderTime = new Context(Samples.settings("roost-0"), new Random(1), 1000);
+  private final Context peerTime = new Context(Samples.settings("roost-1"), new Random(2), 1000);
+  private final Context otherTime = new Context(Samples.settings("roost-2"), new Random(3), 1000);
   private final List<String> learned = new ArrayList<>();
   private final Cancellations leader = new Cancellations(leaderTime, learned::add);
   private Cancellations peer = new Cancellations(peerTime, uid -> {});
--- a/src/test/java/eiderfork/core/CheckerTest.java
+++ b/src/test/java/eiderfork/core/CheckerTest.java
@@ -14,7 +14,7 @@
 
 /** The checker catches a planted breach of each rule, and nothing where there is none. */
 class CheckerTest {
-  private final Checker checker = new Checker(World.settings("roost-0").teams(), 30_000);
+  private final Checker checker = new Checker(Samples.settings("roost-0").teams(), 30_000);
   private final Machine one = new Machine("n-1", "n-1:1", "g4", "a", false);
   private final Machine two = new Machine("n-2", "n-2:1", "g4", "a", false);
 
@@ -39,7 +39,7 @@
 
   @Test
   void passesAnOrderlyHistory() {
-    Job job = submit(World.job(1, JobKind.ARRAY, 1, 1));
+    Job job = submit(Samples.job(1, JobKind.ARRAY, 1, 1));
     TaskId task = new TaskId(job.uid(), 0);
     checker.starts(1, task, one);
     checker.leaves(task, one);
@@ -52,7 +52,7 @@
 
   @Test
   void catchesATaskInTwoPlaces() {
-    Job job = submit(World.job(1, JobKind.ARRAY, 1, 1));
+    Job job = submit(Samples.job(1, JobKind.ARRAY, 1, 1));
     checker.starts(1, new TaskId(job.uid(), 0), one);
     checker.starts(2, new TaskId(job.uid(), 0), two);
     assertOnly("ran_twice");
@@ -60,7 +60,7 @@
 
   @Test
   void catchesATeamOverItsLimit() {
-    Job job = submit(World.job(1, JobKind.ARRAY, 11, 1, "red", Priority.LOW, false, false));
+    Job job = submit(Samples.job(1, JobKind.ARRAY, 11, 1, "red", Priority.LOW, false, false));
     for (int i = 0; i < 11; i++) {
       checker.starts(1, new TaskId(job.uid(), i), one);
     }
@@ -69,14 +69,14 @@
 
   @Test
   void catchesAnOrdinaryJobOnASpotMachine() {
-    Job job = submit(World.job(1, JobKind.ARRAY, 1, 1));
+    Job job = submit(Samples.job(1, JobKind.ARRAY, 1, 1));
     checker.starts(1, new TaskId(job.uid(), 0), new Machine("n-3", "", "g4", "a", true));
     assertOnly("wrong_place");
   }
 
   @Test
   void catchesAJobThatIsNotSpread() {
-    Job job = submit(World.job(1, JobKind.SERVICE, 2, 1, "blue", Priority.HIGH, true, false));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 2, 1, "blue", Priority.HIGH, true, false));
     checker.starts(1, new TaskId(job.uid(), 0), one);
     checker.starts(1, new TaskId(job.uid(), 1), two);
     assertOnly("wrong_place");
@@ -84,7 +84,7 @@
 
   @Test
   void catchesACancelledJobThatRunsOn() {
-    Job job = submit(World.job(1, JobKind.SERVICE, 1, 1));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 1, 1));
     checker.starts(1, new TaskId(job.uid(), 0), one);
     checker.userAborts(job.uid());
     told(1000, job.uid(), says(job.uid(), Stance.ABORTED), false);
@@ -96,7 +96,7 @@
 
   @Test
   void catchesWhatUsersMustNotBeTold() {
-    Job job = submit(World.job(1, JobKind.ARRAY, 1, 1));
+    Job job = submit(Samples.job(1, JobKind.ARRAY, 1, 1));
     told(1, job.uid(), UserAnswer.refused(404, ""), false);
     told(1, "run-9", says("run-9", Stance.PENDING), false);
     told(1, job.uid(), says(job.uid(), Stance.DONE), false);
--- a/src/test/java/eiderfork/core/ControllerTest.java
+++ b/src/test/java/eiderfork/core/ControllerTest.java
@@ -14,7 +14,7 @@
 
 /** A single controller, input by input. */
 class ControllerTest {
-  private final Controller node = new Controller(World.settings("roost-0"), new Random(1), 0);
+  private final Controller node = new Controller(Samples.settings("roost-0"), new Random(1), 0);
   private final List<Effect> effects = new ArrayList<>();
 
   private void take(long nowMs, Input input) {
@@ -54,7 +54,7 @@
   /** Commands to every machine at once, beside every worker's report, once took all sockets. */
   @Test
   void aNewLeaderReachesNoMoreMachinesAtOnceThanItsSocketsAllow() {
-    Context context = new Context(World.settings("roost-0"), new Random(1), 0);
+    Context context = new Context(Samples.settings("roost-0"), new Random(1), 0);
     StateGate gate = new StateGate(context);
     Term term = new Term(context, gate, null);
     JobTable jobs = new JobTable(context, gate, term);
@@ -89,7 +89,7 @@
   /** A wait of a report interval outlived the worker's own, which is 4 s whatever the interval. */
   @Test
   void noReportWaitsLongerForBeingASeldomOne() {
-    Controller slow = new Controller(World.slow(), new Random(1), 0);
+    Controller slow = new Controller(Samples.slow(), new Random(1), 0);
     slow.take(10, report(7));
     List<Effect> later = slow.take(1010, new Input.Tick());
     assertTrue(later.contains(new Effect.RedirectWorker(7, null)), later::toString);
--- a/src/test/java/eiderfork/core/FailedSearchesTest.java
+++ b/src/test/java/eiderfork/core/FailedSearchesTest.java
@@ -11,7 +11,7 @@
 /** What a proof of no room says of other jobs. */
 class FailedSearchesTest {
   private static Job job(double gpus, boolean spot) {
-    return World.job(1, JobKind.SERVICE, 1, gpus, "blue", Priority.HIGH, false, spot);
+    return Samples.job(1, JobKind.SERVICE, 1, gpus, "blue", Priority.HIGH, false, spot);
   }
 
   @Test
--- /dev/null
+++ b/src/test/java/eiderfork/core/FakeCloud.java
@@ -0,0 +1,167 @@
+package eiderfork.core;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.model.HostEntry;
+import eiderfork.model.Machine;
+import eiderfork.model.MachineType;
+import eiderfork.model.Record;
+import eiderfork.model.Resources;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+
+/** The scripted cloud: rents machines out, takes them back and lists them late. */
+final class FakeCloud {
+  /** A machine, from its rent on. */
+  static final class Host {
+    final Machine machine;
+    final long rentedMs;
+    final long upMs;
+    long goneMs = Long.MAX_VALUE;
+    FakeWorker worker;
+
+    Host(Machine machine, long rentedMs, long upMs) {
+      this.machine = machine;
+      this.rentedMs = rentedMs;
+      this.upMs = upMs;
+    }
+  }
+
+  /** How long a rented machine boots; 0 for 2 to 8 s. */
+  long bootMs;
+
+  /** The cloud refuses every request. */
+  boolean down;
+
+  /** How much it has of each kind that {@link #stock} does not name. */
+  int capacity = 10;
+
+  /** What the cloud has, and how much of each kind where that is not {@link #capacity}. */
+  ImmutableList<MachineType> types = SMALL_TYPES;
+
+  final Map<Cloud.Kind, Integer> stock = new HashMap<>();
+
+  private static final ImmutableList<MachineType> SMALL_TYPES =
+      ImmutableList.of(
+          new MachineType(
+              "g4", new Resources(16, 4, 64), 50, 2, 8, 3, 4, ImmutableList.of("a", "b")),
+          new MachineType(
+              "c8", new Resources(8, 0, 32), 50, 1, 1, 0.4, 3, ImmutableList.of("a", "b")));
+
+  private final Random random;
+  private final long lagMs;
+  private final TreeMap<String, Host> hosts = new TreeMap<>();
+  private final Map<String, ImmutableList<String>> requests = new HashMap<>();
+  private int hostNames;
+
+  /** How many machines were given back. */
+  int returnedHosts;
+
+  FakeCloud(Random random, double listLagS) {
+    this.random = random;
+    lagMs = (long) (listLagS * 1000);
+  }
+
+  /** All machines that there ever were. */
+  Collection<Host> hosts() {
+    return hosts.values();
+  }
+
+  /** The machine of this name, or null. */
+  Host host(String name) {
+    return hosts.get(name);
+  }
+
+  Reply rent(Record.Rent rent, long nowMs) {
+    ImmutableList<String> known = requests.get(rent.requestName());
+    if (known != null) {
+      return new Reply.Rented(known);
+    }
+    ImmutableList.Builder<String> names = ImmutableList.builder();
+    long same =
+        hosts.values().stream()
+            .filter(
+                h ->
+                    h.goneMs == Long.MAX_VALUE
+                        && h.machine.type().equals(rent.type())
+                        && h.machine.zone().equals(rent.zone())
+                        && h.machine.spot() == rent.spot())
+            .count();
+    Cloud.Kind kind = new Cloud.Kind(rent.type(), rent.zone(), rent.spot());
+    int count = (int) Math.min(rent.count(), stock.getOrDefault(kind, capacity) - same);
+    for (int i = 0; i < count; i++) {
+      long slowMs = 2000 + random.nextLong(6000);
+      addHost(rent.type(), rent.zone(), rent.spot(), bootMs > 0 ? bootMs : slowMs, nowMs);
+      names.add(hosts.lastKey());
+    }
+    if (count <= 0) {
+      return new Reply.NoCapacity();
+    }
+    requests.put(rent.requestName(), names.build());
+    return new Reply.Rented(names.build());
+  }
+
+  /** A machine that comes up after a while, asked for or not. */
+  void addHost(String type, String zone, boolean spot, long upAfterMs, long nowMs) {
+    String name = "n-%06d".formatted(++hostNames);
+    Machine machine = new Machine(name, name + ":9000", type, zone, spot);
+    hosts.put(name, new Host(machine, nowMs, nowMs + upAfterMs));
+  }
+
+  void giveBack(String name, long nowMs) {
+    Host host = hosts.get(name);
+    if (host != null && host.goneMs == Long.MAX_VALUE) {
+      host.goneMs = nowMs;
+      returnedHosts++;
+      kill(host);
+    }
+  }
+
+  private void kill(Host host) {
+    if (host.worker != null) {
+      host.worker.loseAll();
+      host.worker.dead = true;
+    }
+  }
+
+  /** A machine stops with all that is on it. */
+  void die(String name, long nowMs) {
+    Host host = hosts.get(name);
+    host.goneMs = nowMs;
+    kill(host);
+  }
+
+  Reply list(String after, long nowMs) {
+    // A list may be as old as twice the lag, and older than the one before it.
+    long asOfMs = nowMs - lagMs / 2 - random.nextLong(lagMs * 3 / 2);
+    ImmutableList.Builder<HostEntry> entries = ImmutableList.builder();
+    for (Host host : hosts.tailMap(after, false).values()) {
+      if (host.rentedMs <= asOfMs && host.goneMs > asOfMs) {
+        HostEntry.State s = host.upMs <= asOfMs ? HostEntry.State.RUNNING : HostEntry.State.BOOTING;
+        entries.add(new HostEntry(host.machine, s, (asOfMs - host.rentedMs) / 1000.0));
+      }
+    }
+    return new Reply.Hosts(entries.build(), false);
+  }
+
+  List<FakeWorker> workers() {
+    List<FakeWorker> live = new ArrayList<>();
+    hosts
+        .values()
+        .forEach(
+            h -> {
+              if (h.worker != null && !h.worker.dead) {
+                live.add(h.worker);
+              }
+            });
+    return live;
+  }
+
+  long liveHosts() {
+    return hosts.values().stream().filter(h -> h.goneMs == Long.MAX_VALUE).count();
+  }
+}
--- a/src/test/java/eiderfork/core/ForwardsTest.java
+++ b/src/test/java/eiderfork/core/ForwardsTest.java
@@ -12,7 +12,7 @@
 
 /** Queries that are passed on to the leader together. */
 class ForwardsTest {
-  private final Context context = new Context(World.settings("roost-0"), new Random(1), 0);
+  private final Context context = new Context(Samples.settings("roost-0"), new Random(1), 0);
   private final Forwards forwards = new Forwards(context);
   private final List<String> told = new ArrayList<>();
 
--- a/src/test/java/eiderfork/core/HistoryTest.java
+++ b/src/test/java/eiderfork/core/HistoryTest.java
@@ -25,7 +25,7 @@
   @ParameterizedTest
   @ValueSource(longs = {21, 22, 23, 24, 25, 26})
   void rulesHoldWhereReportsComeSeldom(long seed) {
-    rulesHold(new World(seed, World.slow()), seed);
+    rulesHold(new World(seed, Samples.slow()), seed);
   }
 
   /** Troubles that meet: late and lost transactions, old reports, refusals before an outage. */
@@ -94,7 +94,7 @@
     for (int i = 0; i < 24; i++) {
       JobKind kind = script.nextInt(3) == 0 ? JobKind.ARRAY : JobKind.SERVICE;
       Job job =
-          World.job(
+          Samples.job(
               i,
               i % 8 == 7 ? JobKind.GANG : kind,
               1 + script.nextInt(5),
@@ -182,8 +182,8 @@
         }
       }
       case 8 -> {
-        world.cloudDown = true;
-        world.at(15_000, () -> world.cloudDown = false);
+        world.cloud.down = true;
+        world.at(15_000, () -> world.cloud.down = false);
       }
       default -> {
         // Reports arrive, answers and commands do not.
--- a/src/test/java/eiderfork/core/JobTableTest.java
+++ b/src/test/java/eiderfork/core/JobTableTest.java
@@ -21,7 +21,7 @@
    */
   @Test
   void aNewLeaderKnowsWhichImagesMachinesWereGiven() {
-    Context context = new Context(World.settings("roost-0"), new Random(1), 0);
+    Context context = new Context(Samples.settings("roost-0"), new Random(1), 0);
     StateGate gate = new StateGate(context);
     JobTable jobs = new JobTable(context, gate, null);
     Fleet fleet = new Fleet(context, jobs);
@@ -30,7 +30,7 @@
             new MachineType("g4", new Resources(16, 4, 64), 2, 2, 8, 3, 4, ImmutableList.of("a"))));
     MachineEntry m = fleet.known(new Machine("n-1", "n-1:1", "g4", "a", false));
     for (int i = 1; i <= 3; i++) {
-      Job job = World.job(i, JobKind.SERVICE, 1, 1, "img-" + i);
+      Job job = Samples.job(i, JobKind.SERVICE, 1, 1, "img-" + i);
       JobEntry entry = jobs.add(job, i);
       Record.Alloc alloc =
           new Record.Alloc(
--- a/src/test/java/eiderfork/core/LeaseProxyTest.java
+++ b/src/test/java/eiderfork/core/LeaseProxyTest.java
@@ -26,14 +26,14 @@
   }
 
   private static World world(long seed) {
-    return new World(seed, World.settings("roost-0"), 7);
+    return new World(seed, Samples.settings("roost-0"), 7);
   }
 
   /** Services spread over both zones, which all run. */
   private static List<Job> spread(World world, int count) {
     List<Job> jobs = new ArrayList<>();
     for (int i = 1; i <= count; i++) {
-      jobs.add(World.job(i, JobKind.SERVICE, 4, 1, "blue", Priority.HIGH, true, false));
+      jobs.add(Samples.job(i, JobKind.SERVICE, 4, 1, "blue", Priority.HIGH, true, false));
     }
     jobs.forEach(world::submit);
     world.run(35);
@@ -170,7 +170,7 @@
       world.at(outMs + 5000 + script.nextInt(30_000), () -> world.state.recover(world.nowMs));
     }
     for (int i = 5; i <= 12; i++) {
-      Job job = World.job(i, i % 2 == 0 ? JobKind.SERVICE : JobKind.ARRAY, 3, 1);
+      Job job = Samples.job(i, i % 2 == 0 ? JobKind.SERVICE : JobKind.ARRAY, 3, 1);
       jobs.add(job);
       world.at(script.nextInt(60_000), () -> world.submit(job));
     }
@@ -287,7 +287,7 @@
       }
     }
     world.run(20);
-    Job next = World.job(9, JobKind.SERVICE, 8, 2, "blue", Priority.HIGH, true, false);
+    Job next = Samples.job(9, JobKind.SERVICE, 8, 2, "blue", Priority.HIGH, true, false);
     jobs.add(next);
     world.submit(next);
     world.run(15);
--- a/src/test/java/eiderfork/core/PackingTest.java
+++ b/src/test/java/eiderfork/core/PackingTest.java
@@ -31,7 +31,7 @@
   private final Bin gpuBin = new Bin(null, GPU_KIND, GPU_MACHINE.room(), GPU_MACHINE.room());
 
   private Packing packing(MachineType... types) {
-    Context context = new Context(World.settings("roost-0"), new Random(1), 1000);
+    Context context = new Context(Samples.settings("roost-0"), new Random(1), 1000);
     StateGate gate = new StateGate(context);
     Fleet fleet = new Fleet(context, new JobTable(context, gate, null));
     fleet.types(ImmutableList.copyOf(types));
@@ -40,7 +40,7 @@
   }
 
   private static Job cpuService(int tasks) {
-    return World.job(1, JobKind.SERVICE, tasks, 0, "blue", Priority.HIGH, false, false);
+    return Samples.job(1, JobKind.SERVICE, tasks, 0, "blue", Priority.HIGH, false, false);
   }
 
   private static int put(Packing packing, Job job) {
@@ -82,7 +82,7 @@
   @Test
   void aZoneTakesNoMoreThanItMay() {
     Packing packing = packing(GPU_MACHINE, CPU_MACHINE);
-    Job spread = World.job(1, JobKind.SERVICE, 5, 0, "blue", Priority.HIGH, true, false);
+    Job spread = Samples.job(1, JobKind.SERVICE, 5, 0, "blue", Priority.HIGH, true, false);
     assertEquals(3, put(packing, spread));
     assertFalse(packing.put(spread, new Packing.Cursor(), new HashMap<>(Map.of("a", 3)), 3));
   }
--- a/src/test/java/eiderfork/core/PreemptionTest.java
+++ b/src/test/java/eiderfork/core/PreemptionTest.java
@@ -19,7 +19,8 @@
 
 /** Which arrays are stopped for a service that finds no room. */
 class PreemptionTest {
-  private final Context context = new Context(World.settings("roost-0"), new Random(1), 1_000_000);
+  private final Context context =
+      new Context(Samples.settings("roost-0"), new Random(1), 1_000_000);
   private final JobTable jobs = new JobTable(context, new StateGate(context), null);
   private final Fleet fleet = new Fleet(context, jobs);
   private int lastJob;
@@ -34,7 +35,7 @@
 
   private JobEntry add(JobKind kind, int tasks, Priority priority, String image) {
     lastJob++;
-    Job job = World.job(lastJob, kind, tasks, 1, "blue", priority, false, false, image, 40);
+    Job job = Samples.job(lastJob, kind, tasks, 1, "blue", priority, false, false, image, 40);
     return jobs.add(job, lastJob);
   }
 
--- a/src/test/java/eiderfork/core/QuotaTest.java
+++ b/src/test/java/eiderfork/core/QuotaTest.java
@@ -15,7 +15,7 @@
 class QuotaTest {
   /** The red team may use ten GPUs. */
   private static Job red(int number, JobKind kind, int tasks, double gpus) {
-    return World.job(number, kind, tasks, gpus, "red", Priority.HIGH, false, false);
+    return Samples.job(number, kind, tasks, gpus, "red", Priority.HIGH, false, false);
   }
 
   /** Fills the team's limit and has more of it wait. */
@@ -185,7 +185,7 @@
       Job job =
           i % 2 == 0
               ? red(i, JobKind.ARRAY, 1, 1)
-              : World.job(i, JobKind.ARRAY, 1, i % 4 == 1 ? 1 : 0);
+              : Samples.job(i, JobKind.ARRAY, 1, i % 4 == 1 ? 1 : 0);
       jobs.add(job);
       world.at(10_000 + i * 250L, () -> world.submit(job));
       if (i % 4 == 0) {
@@ -202,13 +202,14 @@
   @ValueSource(longs = {1, 2, 3})
   void moreWorkThanRoomOverSlowLinks(long seed) {
     World world = new World(seed);
-    world.capacity = 1;
+    world.cloud.capacity = 1;
     world.late = 0.2;
     world.lateMs = 1500;
     List<Job> jobs = new ArrayList<>();
     for (int i = 1; i <= 24; i++) {
       Priority priority = Priority.values()[i % 4];
-      Job job = World.job(i, JobKind.ARRAY, 1 + i % 6, i % 3, "blue", priority, false, i % 2 == 0);
+      Job job =
+          Samples.job(i, JobKind.ARRAY, 1 + i % 6, i % 3, "blue", priority, false, i % 2 == 0);
       jobs.add(job);
       world.at(i * 700L, () -> world.submit(job));
     }
--- a/src/test/java/eiderfork/core/ReadBarrierTest.java
+++ b/src/test/java/eiderfork/core/ReadBarrierTest.java
@@ -12,7 +12,7 @@
 
 /** A question is answered only from memory that holds every cancellation committed before it. */
 class ReadBarrierTest {
-  private final Context context = new Context(World.settings("roost-0"), new Random(1), 1000);
+  private final Context context = new Context(Samples.settings("roost-0"), new Random(1), 1000);
   private final StateGate gate = new StateGate(context);
   private final List<String> aborted = new ArrayList<>();
   private final List<Long> caughtUp = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/eiderfork/core/Samples.java
@@ -0,0 +1,122 @@
+package eiderfork.core;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import eiderfork.config.OperatorSettings;
+import eiderfork.config.Settings;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Priority;
+import eiderfork.model.Resources;
+import eiderfork.model.Team;
+
+/** Settings and jobs that tests have in common. */
+final class Samples {
+  /** The figures of the earlier deployments, and of those of many machines. */
+  static final Settings.Workers QUICK = new Settings.Workers(1, 10, 30);
+
+  static final Settings.Workers SLOW = new Settings.Workers(4, 22, 42);
+
+  private Samples() {}
+
+  /** Three nodes stand in one zone; more are spread over the two by turns. */
+  static String zone(int node, int count) {
+    return count > 3 && node % 2 == 1 ? "b" : "a";
+  }
+
+  /** Settings with the figures of a fleet of many machines. */
+  static Settings slow() {
+    return settings("roost-0", SLOW, new Settings.StateLimits(200, 40, 4), 0.2, 160, 3);
+  }
+
+  static Settings settings(String node) {
+    return settings(node, QUICK, new Settings.StateLimits(200, 40, 8), 0.2, 160, 3);
+  }
+
+  static Settings settings(
+      String node,
+      Settings.Workers workers,
+      Settings.StateLimits stateLimits,
+      double cpuShare,
+      int sockets,
+      int count) {
+    ImmutableMap.Builder<String, Settings.Endpoint> peers = ImmutableMap.builder();
+    ImmutableMap.Builder<String, String> peerZones = ImmutableMap.builder();
+    for (int i = 0; i < count; i++) {
+      if (!node.equals("roost-" + i)) {
+        peers.put("roost-" + i, new Settings.Endpoint("10.0.0." + (i + 1), 8081));
+        peerZones.put("roost-" + i, zone(i, count));
+      }
+    }
+    return new Settings(
+        node,
+        zone(node.charAt(node.length() - 1) - '0', count),
+        new Settings.Endpoint("10.0.0.1", 8080),
+        new Settings.Endpoint("10.0.0.1", 8081),
+        peers.build(),
+        peerZones.build(),
+        new Settings.Endpoint("10.2.0.2", 8443),
+        new Settings.Endpoint("10.2.0.1", 2379),
+        ImmutableMap.of("red", new Team("red", 0, 0, 4, 10), "blue", new Team("blue", 0, 0, 0, 0)),
+        ImmutableList.of(
+            new Settings.Objective(Settings.Objective.Kind.WAIT, "web", 5, 1, 0.9),
+            new Settings.Objective(Settings.Objective.Kind.FINISHED, "batch", 40, 1, 0.9)),
+        workers,
+        stateLimits,
+        new Settings.CloudLimits(2, 4),
+        new Settings.Controller(cpuShare, sockets),
+        OperatorSettings.DEFAULTS);
+  }
+
+  static Job job(int number, JobKind kind, int tasks, double gpus) {
+    return job(number, kind, tasks, gpus, "blue", Priority.HIGH, false, false);
+  }
+
+  static Job job(int number, JobKind kind, int tasks, double gpus, String image) {
+    return job(number, kind, tasks, gpus, "blue", Priority.HIGH, false, false, image, 1);
+  }
+
+  static Job job(
+      int number,
+      JobKind kind,
+      int tasks,
+      double gpus,
+      String team,
+      Priority priority,
+      boolean spread,
+      boolean spot) {
+    return job(number, kind, tasks, gpus, team, priority, spread, spot, "img", 1);
+  }
+
+  static Job job(
+      int number,
+      JobKind kind,
+      int tasks,
+      double gpus,
+      String team,
+      Priority priority,
+      boolean spread,
+      boolean spot,
+      String image,
+      double imageGb) {
+    return new Job(
+        "run-%06d".formatted(number),
+        kind == JobKind.SERVICE ? "web" : "batch",
+        team,
+        kind,
+        priority,
+        tasks,
+        new Resources(1, gpus, 4),
+        null,
+        null,
+        false,
+        spread,
+        spot,
+        image,
+        imageGb,
+        kind == JobKind.SERVICE ? 0 : 4,
+        0,
+        0,
+        null);
+  }
+}
--- a/src/test/java/eiderfork/core/ScaleTest.java
+++ b/src/test/java/eiderfork/core/ScaleTest.java
@@ -18,11 +18,11 @@
   @Test
   void theWorkOfARoundGrowsWithJobsTimesMachinesAndNotWithTasks() {
     World world = new World(3);
-    world.capacity = 40;
+    world.cloud.capacity = 40;
     world.run(3);
     List<Job> jobs = new ArrayList<>();
     for (int i = 0; i < JOBS; i++) {
-      Job job = World.job(i, JobKind.SERVICE, TASKS, 1, "blue", Priority.HIGH, false, true);
+      Job job = Samples.job(i, JobKind.SERVICE, TASKS, 1, "blue", Priority.HIGH, false, true);
       jobs.add(job);
       world.submit(job);
     }
@@ -33,7 +33,7 @@
         most = Math.max(most, node.examined());
       }
     }
-    long machines = world.liveHosts();
+    long machines = world.cloud.liveHosts();
     long running = jobs.stream().mapToLong(job -> world.checker.running(job.uid())).sum();
     assertTrue(machines >= 150, machines + " machines");
     // Four kinds of the larger type, 40 machines each, with four tasks on a machine.
@@ -54,17 +54,18 @@
   @Test
   void jobsThatWaitForAFullFleetAreSearchedForOnceForAllOfASize() {
     World world = new World(4);
-    world.capacity = 40;
+    world.cloud.capacity = 40;
     world.run(3);
     for (int i = 0; i < 40; i++) {
-      world.submit(World.job(i, JobKind.SERVICE, 16, 0, "blue", Priority.HIGH, false, false));
+      world.submit(Samples.job(i, JobKind.SERVICE, 16, 0, "blue", Priority.HIGH, false, false));
     }
     world.run(40);
     for (int i = 100; i < 400; i++) {
-      world.submit(World.job(i, JobKind.SERVICE, 8, 2, "blue", Priority.PRODUCTION, false, false));
+      world.submit(
+          Samples.job(i, JobKind.SERVICE, 8, 2, "blue", Priority.PRODUCTION, false, false));
     }
     world.run(40);
-    long machines = world.liveHosts();
+    long machines = world.cloud.liveHosts();
     long waiting = 300 * 8 - world.checker.runningTasks();
     assertTrue(machines >= 100 && waiting > 1000, machines + " machines, " + waiting + " wait");
     int most = 0;
--- a/src/test/java/eiderfork/core/ScenarioTest.java
+++ b/src/test/java/eiderfork/core/ScenarioTest.java
@@ -37,9 +37,9 @@
 
   @Test
   void aQuietDayRunsEverything() {
-    Job array = submit(World.job(1, JobKind.ARRAY, 6, 1));
-    Job gang = submit(World.job(2, JobKind.GANG, 3, 1));
-    Job service = submit(World.job(3, JobKind.SERVICE, 3, 1));
+    Job array = submit(Samples.job(1, JobKind.ARRAY, 6, 1));
+    Job gang = submit(Samples.job(2, JobKind.GANG, 3, 1));
+    Job service = submit(Samples.job(3, JobKind.SERVICE, 3, 1));
     world.run(40);
     assertTrue(world.checker.isDone(array.uid()));
     assertTrue(world.checker.isDone(gang.uid()));
@@ -48,15 +48,15 @@
     world.run(3);
     assertEquals(0, world.checker.running(service.uid()));
     world.run(120);
-    assertTrue(world.liveHosts() <= 1, "no more than the headroom is kept");
+    assertTrue(world.cloud.liveHosts() <= 1, "no more than the headroom is kept");
   }
 
   @ParameterizedTest
   @ValueSource(ints = {0, 50, 100, 150, 200, 250, 300, 400, 600, 1000, 2000})
   void aCrashBetweenAnyTwoStepsOfAStartLosesNothing(int afterMs) {
-    submit(World.job(1, JobKind.SERVICE, 1, 1));
+    submit(Samples.job(1, JobKind.SERVICE, 1, 1));
     world.run(20);
-    Job job = submit(World.job(2, JobKind.SERVICE, 2, 1));
+    Job job = submit(Samples.job(2, JobKind.SERVICE, 2, 1));
     world.at(afterMs, () -> world.crash(world.leader(), 3000));
     world.run(40);
     assertEquals(2, world.checker.running(job.uid()));
@@ -65,7 +65,7 @@
   @ParameterizedTest
   @ValueSource(ints = {0, 20, 60, 100, 200, 500})
   void aCrashBetweenAnyTwoStepsOfACancellationLosesNothing(int afterMs) {
-    Job job = submit(World.job(1, JobKind.SERVICE, 2, 1));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 2, 1));
     world.run(20);
     world.abort(job.uid());
     world.at(afterMs, () -> world.crash(world.leader(), 3000));
@@ -78,21 +78,21 @@
   @ValueSource(ints = {0, 50, 100, 200, 400, 800, 1500, 3000})
   void aCrashBetweenAnyTwoStepsOfARentLosesNoMachine(int afterMs) {
     world.run(3);
-    Job job = submit(World.job(1, JobKind.SERVICE, 4, 4));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 4, 4));
     world.at(afterMs, () -> world.crash(world.leader(), 3000));
     world.run(45);
     assertEquals(4, world.checker.running(job.uid()));
     world.abort(job.uid());
     world.run(150);
-    assertTrue(world.liveHosts() <= 1, "no machine is left running unused");
+    assertTrue(world.cloud.liveHosts() <= 1, "no machine is left running unused");
   }
 
   @ParameterizedTest
   @ValueSource(ints = {0, 250, 500, 750, 1000, 1500, 2000})
   void aCrashBetweenAnyTwoStepsOfAnEndKeepsTheResult(int afterMs) {
-    submit(World.job(1, JobKind.SERVICE, 1, 1));
+    submit(Samples.job(1, JobKind.SERVICE, 1, 1));
     world.run(20);
-    Job job = submit(World.job(2, JobKind.ARRAY, 3, 1));
+    Job job = submit(Samples.job(2, JobKind.ARRAY, 3, 1));
     // Tasks fetch for 0.7 s and run for 4 s, so the crash falls around their end.
     world.at(4500 + afterMs, () -> world.crash(world.leader(), 3000));
     world.run(30);
@@ -104,11 +104,11 @@
   @ParameterizedTest
   @ValueSource(ints = {0, 100, 300, 600, 1000, 2000})
   void aCrashBetweenAnyTwoStepsOfAStopAndAReturnLeavesNothingBehind(int afterMs) {
-    world.capacity = 1;
-    Job low = submit(World.job(1, JobKind.ARRAY, 8, 1, "blue", Priority.LOW, false, false));
+    world.cloud.capacity = 1;
+    Job low = submit(Samples.job(1, JobKind.ARRAY, 8, 1, "blue", Priority.LOW, false, false));
     world.run(12);
     Job urgent =
-        submit(World.job(2, JobKind.SERVICE, 2, 4, "blue", Priority.PRODUCTION, false, false));
+        submit(Samples.job(2, JobKind.SERVICE, 2, 4, "blue", Priority.PRODUCTION, false, false));
     world.at(afterMs, () -> world.crash(world.leader(), 2000));
     world.run(30);
     assertEquals(2, world.checker.running(urgent.uid()));
@@ -116,26 +116,26 @@
     world.abort(low.uid());
     world.at(60_000 + afterMs, () -> world.crash(world.leader(), 2000));
     world.run(200);
-    assertTrue(world.liveHosts() <= 1);
+    assertTrue(world.cloud.liveHosts() <= 1);
   }
 
   @Test
   void tasksOutliveTheLeaderAndItsMachinesAreKept() {
-    Job job = submit(World.job(1, JobKind.SERVICE, 4, 2));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 4, 2));
     world.run(30);
     int starts = world.checker.starts;
-    int returned = world.returnedHosts;
+    int returned = world.cloud.returnedHosts;
     world.crash(world.leader(), 8000);
     world.run(8);
     // A new leader once took machines that it had not heard yet for ones that never came up.
-    assertEquals(returned, world.returnedHosts);
+    assertEquals(returned, world.cloud.returnedHosts);
     assertEquals(4, world.checker.running(job.uid()));
     assertEquals(starts, world.checker.starts);
   }
 
   @Test
   void tasksOutliveAnOutageOfTheStateService() {
-    Job job = submit(World.job(1, JobKind.SERVICE, 4, 2));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 4, 2));
     world.run(30);
     int starts = world.checker.starts;
     world.state.outage(world.nowMs);
@@ -144,14 +144,14 @@
     world.state.recover(world.nowMs);
     world.run(5);
     assertEquals(starts, world.checker.starts);
-    Job next = submit(World.job(2, JobKind.SERVICE, 1, 1));
+    Job next = submit(Samples.job(2, JobKind.SERVICE, 1, 1));
     world.run(15);
     assertEquals(1, world.checker.running(next.uid()));
   }
 
   @Test
   void aLeaderThatWorkersCannotReachResigns() {
-    Job job = submit(World.job(1, JobKind.SERVICE, 4, 4));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 4, 4));
     world.run(30);
     String first = world.leader();
     world.cut("*>" + first, 30_000);
@@ -165,26 +165,26 @@
   void manySubmissionsDoNotHoldRentsUp() {
     world.run(3);
     for (int i = 1; i <= 400; i++) {
-      submit(World.job(i, JobKind.SERVICE, 1, 1));
+      submit(Samples.job(i, JobKind.SERVICE, 1, 1));
       world.run(0.005);
     }
-    assertTrue(world.liveHosts() > 2, "machines are on their way while submissions queue");
+    assertTrue(world.cloud.liveHosts() > 2, "machines are on their way while submissions queue");
   }
 
   @Test
   void headroomFadesAfterTheLastArrivals() {
-    Job job = submit(World.job(1, JobKind.SERVICE, 6, 1));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 6, 1));
     world.run(20);
     world.abort(job.uid());
     world.run(5);
-    assertTrue(world.liveHosts() > 0, "as many may come again");
+    assertTrue(world.cloud.liveHosts() > 0, "as many may come again");
     world.run(120);
-    assertEquals(0, world.liveHosts());
+    assertEquals(0, world.cloud.liveHosts());
   }
 
   @Test
   void aMachineThatDiesIsReplaced() {
-    Job job = submit(World.job(1, JobKind.SERVICE, 4, 2));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 4, 2));
     world.run(30);
     world.die(world.workers().get(0).machine.name());
     world.run(35);
@@ -193,7 +193,7 @@
 
   @Test
   void aMachineThatHangsPastItsLeaseIsUsedAgain() {
-    Job job = submit(World.job(1, JobKind.SERVICE, 4, 4));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 4, 4));
     world.run(30);
     FakeWorker worker = busyWorker();
     worker.hanging = true;
@@ -207,7 +207,7 @@
   /** While a new leader waited to hear a machine that was cut off, its tasks ran nowhere. */
   @Test
   void tasksOfAMachineThatANewLeaderNeverHeardArePlacedAnewAfterALease() {
-    Job job = submit(World.job(1, JobKind.SERVICE, 4, 2));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 4, 2));
     world.run(30);
     FakeWorker worker = busyWorker();
     worker.hanging = true;
@@ -220,7 +220,7 @@
 
   @Test
   void theyWaitWhileNobodyKnowsWhetherTheOlderLeaderHoldsThem() {
-    Job job = submit(World.job(1, JobKind.SERVICE, 4, 2));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 4, 2));
     world.run(30);
     FakeWorker worker = busyWorker();
     worker.hanging = true;
@@ -236,7 +236,7 @@
   /** All machines of a zone that was cut off for a little over two leases were once given back. */
   @Test
   void aSilentMachineIsKeptForTheTimeThatAnotherWouldBoot() {
-    submit(World.job(1, JobKind.SERVICE, 4, 4));
+    submit(Samples.job(1, JobKind.SERVICE, 4, 4));
     world.run(30);
     FakeWorker worker = busyWorker();
     worker.hanging = true;
@@ -249,18 +249,18 @@
 
   @Test
   void roomForTheTasksOfASilentMachineIsRentedBeforeItsLeaseLapses() {
-    submit(World.job(1, JobKind.SERVICE, 4, 4));
+    submit(Samples.job(1, JobKind.SERVICE, 4, 4));
     world.run(150);
-    long before = world.liveHosts();
+    long before = world.cloud.liveHosts();
     world.die(busyWorker().machine.name());
     world.run(8);
-    assertEquals(before, world.liveHosts(), "one died and another is on its way");
+    assertEquals(before, world.cloud.liveHosts(), "one died and another is on its way");
   }
 
   @Test
   void replicasOnHalfEmptyMachinesAreMovedTogether() {
     for (int i = 1; i <= 8; i++) {
-      submit(World.job(i, JobKind.SERVICE, 1, 2));
+      submit(Samples.job(i, JobKind.SERVICE, 1, 2));
       world.run(12);
     }
     world.run(20);
@@ -268,24 +268,24 @@
       worker.present().stream().skip(1).forEach(task -> world.abort(task.job()));
     }
     world.run(2);
-    long before = world.liveHosts();
+    long before = world.cloud.liveHosts();
     long running = world.checker.runningTasks();
     world.run(120);
-    assertTrue(world.liveHosts() < before, before + " machines stay");
+    assertTrue(world.cloud.liveHosts() < before, before + " machines stay");
     assertEquals(running, world.checker.runningTasks());
   }
 
   @Test
   void aReplicaMovesForOneThatWouldFetchForTooLongElsewhere() {
-    world.capacity = 2;
+    world.cloud.capacity = 2;
     Job first = submit(large(1, 3));
     world.run(35);
-    Job small = submit(World.job(2, JobKind.SERVICE, 1, 1));
+    Job small = submit(Samples.job(2, JobKind.SERVICE, 1, 1));
     world.run(5);
-    submit(World.job(3, JobKind.SERVICE, 1, 1));
+    submit(Samples.job(3, JobKind.SERVICE, 1, 1));
     world.run(45);
-    submit(World.job(5, JobKind.SERVICE, 1, 1));
-    world.addHost("g4", "a", false, 100);
+    submit(Samples.job(5, JobKind.SERVICE, 1, 1));
+    world.cloud.addHost("g4", "a", false, 100, world.nowMs);
     world.run(3);
     world.abort(first.uid());
     world.run(1.2);
@@ -303,22 +303,22 @@
 
   /** A replica whose image takes 10 s to fetch, twice as long as its class may wait. */
   private static Job large(int number, double gpus) {
-    return World.job(
+    return Samples.job(
         number, JobKind.SERVICE, 1, gpus, "blue", Priority.PRODUCTION, false, false, "large", 20);
   }
 
   @Test
   void aMachineHeardAgainWhileTheCloudIsOutIsKept() {
-    world.capacity = 1;
-    Job job = submit(World.job(1, JobKind.SERVICE, 2, 4));
+    world.cloud.capacity = 1;
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 2, 4));
     world.run(30);
     FakeWorker worker = busyWorker();
     worker.hanging = true;
-    world.cloudDown = true;
+    world.cloud.down = true;
     world.at(30_000, () -> worker.hanging = false);
     world.run(40);
     assertEquals(2, world.checker.running(job.uid()), "it runs there again");
-    world.cloudDown = false;
+    world.cloud.down = false;
     world.run(20);
     assertFalse(worker.dead, "its return was called off");
     assertEquals(2, world.checker.running(job.uid()));
@@ -326,24 +326,24 @@
 
   @Test
   void anUnexpectedMachineIsGivenBack() {
-    submit(World.job(1, JobKind.SERVICE, 1, 1));
+    submit(Samples.job(1, JobKind.SERVICE, 1, 1));
     world.run(30);
-    long before = world.liveHosts();
-    world.addHost("g4", "a", false, 1000);
+    long before = world.cloud.liveHosts();
+    world.cloud.addHost("g4", "a", false, 1000, world.nowMs);
     world.run(100);
-    assertTrue(world.liveHosts() <= before);
+    assertTrue(world.cloud.liveHosts() <= before);
   }
 
   @Test
   void aJobThatFailsEverywhereCondemnsNoMachine() {
-    Job good = submit(World.job(1, JobKind.SERVICE, 8, 2));
+    Job good = submit(Samples.job(1, JobKind.SERVICE, 8, 2));
     world.run(30);
     List<String> hosts =
         world.workers().stream()
             .filter(w -> !w.present().isEmpty())
             .map(w -> w.machine.name())
             .toList();
-    Job bad = World.job(2, JobKind.ARRAY, 4, 0);
+    Job bad = Samples.job(2, JobKind.ARRAY, 4, 0);
     world.badJobs.add(bad.uid());
     submit(bad);
     world.run(60);
@@ -356,12 +356,12 @@
 
   @Test
   void aFaultyMachineGetsNoStartsAndIsReturned() {
-    submit(World.job(1, JobKind.SERVICE, 2, 1));
+    submit(Samples.job(1, JobKind.SERVICE, 2, 1));
     world.run(20);
     String name = busyWorker().machine.name();
     world.badMachines.add(name);
     for (int i = 2; i < 8; i++) {
-      submit(World.job(i, JobKind.ARRAY, 2, 1));
+      submit(Samples.job(i, JobKind.ARRAY, 2, 1));
       world.run(6);
     }
     world.run(90);
@@ -373,25 +373,25 @@
 
   @Test
   void urgentServicesTakeTheRoomOfLowArrays() {
-    world.capacity = 1;
-    Job low = submit(World.job(1, JobKind.ARRAY, 8, 1, "blue", Priority.LOW, false, false));
+    world.cloud.capacity = 1;
+    Job low = submit(Samples.job(1, JobKind.ARRAY, 8, 1, "blue", Priority.LOW, false, false));
     world.run(12);
     assertTrue(world.checker.running(low.uid()) > 0);
     Job urgent =
-        submit(World.job(2, JobKind.SERVICE, 2, 4, "blue", Priority.PRODUCTION, false, false));
+        submit(Samples.job(2, JobKind.SERVICE, 2, 4, "blue", Priority.PRODUCTION, false, false));
     world.run(15);
     assertEquals(2, world.checker.running(urgent.uid()));
   }
 
   @Test
   void aJobWithARecordThatCannotBeReadIsLeftAloneAndTheRestGoesOn() {
-    Job broken = submit(World.job(1, JobKind.SERVICE, 2, 1));
+    Job broken = submit(Samples.job(1, JobKind.SERVICE, 2, 1));
     world.run(20);
     int starts = world.checker.starts;
     world.state.spoil(Keys.alloc(broken.uid()));
     world.crash(world.leader(), 3000);
     world.run(20);
-    Job other = submit(World.job(2, JobKind.SERVICE, 2, 1));
+    Job other = submit(Samples.job(2, JobKind.SERVICE, 2, 1));
     world.query(broken.uid());
     world.run(20);
     assertEquals(2, world.checker.running(broken.uid()));
@@ -401,7 +401,7 @@
 
   @Test
   void whatIsKnownIsNeverRefusedAndWhatIsNotIsDenied() {
-    Job job = submit(World.job(1, JobKind.SERVICE, 1, 1));
+    Job job = submit(Samples.job(1, JobKind.SERVICE, 1, 1));
     world.run(10);
     world.submit(job);
     world.query("run-000099");
@@ -412,17 +412,17 @@
 
   @Test
   void smallArraysGoBeforeLargeOnesForAWhileOnly() {
-    world.capacity = 1;
-    submit(World.job(1, JobKind.SERVICE, 1, 0));
+    world.cloud.capacity = 1;
+    submit(Samples.job(1, JobKind.SERVICE, 1, 0));
     world.run(20);
-    Job large = submit(World.job(2, JobKind.ARRAY, 60, 2));
+    Job large = submit(Samples.job(2, JobKind.ARRAY, 60, 2));
     world.run(1);
-    Job small = submit(World.job(3, JobKind.ARRAY, 4, 2));
+    Job small = submit(Samples.job(3, JobKind.ARRAY, 4, 2));
     world.run(25);
     assertTrue(world.checker.isDone(small.uid()));
     assertFalse(world.checker.isDone(large.uid()));
     for (int i = 4; i < 40; i++) {
-      submit(World.job(i, JobKind.ARRAY, 8, 2));
+      submit(Samples.job(i, JobKind.ARRAY, 8, 2));
       world.run(2);
     }
     assertTrue(world.checker.isDone(large.uid()), "the large one has its turn");
@@ -430,9 +430,9 @@
 
   @Test
   void aFullTeamWaitsForItsLimit() {
-    Job first = submit(World.job(1, JobKind.SERVICE, 5, 2, "red", Priority.HIGH, false, false));
+    Job first = submit(Samples.job(1, JobKind.SERVICE, 5, 2, "red", Priority.HIGH, false, false));
     world.run(20);
-    Job second = submit(World.job(2, JobKind.SERVICE, 1, 2, "red", Priority.HIGH, false, false));
+    Job second = submit(Samples.job(2, JobKind.SERVICE, 1, 2, "red", Priority.HIGH, false, false));
     world.run(10);
     assertEquals(5, world.checker.running(first.uid()));
     assertEquals(0, world.checker.running(second.uid()));
--- a/src/test/java/eiderfork/core/StaleMessageTest.java
+++ b/src/test/java/eiderfork/core/StaleMessageTest.java
@@ -25,7 +25,7 @@
     for (int i = 1; i <= 24; i++) {
       JobKind kind = i % 3 == 0 ? JobKind.SERVICE : i % 8 == 1 ? JobKind.GANG : JobKind.ARRAY;
       String team = i % 2 == 0 ? "red" : "blue";
-      Job job = World.job(i, kind, 1 + i % 4, i % 3, team, Priority.HIGH, false, i % 4 == 0);
+      Job job = Samples.job(i, kind, 1 + i % 4, i % 3, team, Priority.HIGH, false, i % 4 == 0);
       jobs.add(job);
       world.at(3000 + i * 1700L, () -> world.submit(job));
       if (kind == JobKind.SERVICE) {
@@ -81,8 +81,8 @@
   void aReportHeldBackUntilTheNewLeaderHasActed(int heldMs) {
     World world = new World(4);
     List<Job> jobs = new ArrayList<>();
-    jobs.add(World.job(1, JobKind.ARRAY, 4, 1));
-    jobs.add(World.job(2, JobKind.SERVICE, 4, 1));
+    jobs.add(Samples.job(1, JobKind.ARRAY, 4, 1));
+    jobs.add(Samples.job(2, JobKind.SERVICE, 4, 1));
     jobs.forEach(world::submit);
     world.run(8);
     world.holdNextReports(heldMs);
@@ -141,12 +141,12 @@
   @ValueSource(ints = {0, 100, 200, 400, 700, 1000, 1500, 2000, 2500, 3000, 4000, 6000})
   void workForMachinesThatAreUpAtOnceWhileWritesLag(int crashAfterMs) {
     World world = new World(9);
-    world.bootMs = 300;
+    world.cloud.bootMs = 300;
     world.run(4);
     world.lateWrites = 0.3;
     List<Job> jobs = new ArrayList<>();
     for (int i = 1; i <= 6; i++) {
-      Job job = World.job(i, i % 2 == 0 ? JobKind.SERVICE : JobKind.ARRAY, 3, 1 + i % 3);
+      Job job = Samples.job(i, i % 2 == 0 ? JobKind.SERVICE : JobKind.ARRAY, 3, 1 + i % 3);
       jobs.add(job);
       world.at(300L * i, () -> world.submit(job));
     }
--- a/src/test/java/eiderfork/core/TakeoverTest.java
+++ b/src/test/java/eiderfork/core/TakeoverTest.java
@@ -26,7 +26,7 @@
     List<Job> jobs = new ArrayList<>();
     for (int i = 1; i <= count; i++) {
       jobs.add(
-          World.job(
+          Samples.job(
               i, JobKind.SERVICE, 2, 1, i % 2 == 0 ? "red" : "blue", Priority.HIGH, false, false));
     }
     jobs.forEach(world::submit);
@@ -46,7 +46,7 @@
     World world = new World(seed);
     List<Job> jobs = services(world, 5);
     for (int i = 0; i < 12; i++) {
-      Job job = World.job(10 + i, JobKind.ARRAY, 3, 1);
+      Job job = Samples.job(10 + i, JobKind.ARRAY, 3, 1);
       jobs.add(job);
       world.at(5000 + i * 9000L, () -> world.submit(job));
       if (i % 3 == 0) {
@@ -71,7 +71,7 @@
   void allEndAndOneReturns(int awayMs) {
     World world = new World(3);
     List<Job> jobs = services(world, 5);
-    Job cancelled = World.job(20, JobKind.SERVICE, 3, 1);
+    Job cancelled = Samples.job(20, JobKind.SERVICE, 3, 1);
     jobs.add(cancelled);
     world.submit(cancelled);
     world.run(25);
@@ -95,7 +95,7 @@
       World world = new World(2);
       List<Job> jobs = services(world, 5);
       world.run(25);
-      Job starting = World.job(30, JobKind.ARRAY, 6, 1);
+      Job starting = Samples.job(30, JobKind.ARRAY, 6, 1);
       jobs.add(starting);
       world.submit(starting);
       String old = world.leader();
@@ -177,11 +177,11 @@
   @ValueSource(ints = {0, 200, 500, 900, 1500, 2200, 3000})
   void tasksThatEndFarApart(int afterMs) {
     World world = new World(6);
-    world.capacity = 1;
-    world.stock.put(new Cloud.Kind("g4", "b", false), 0);
+    world.cloud.capacity = 1;
+    world.cloud.stock.put(new Cloud.Kind("g4", "b", false), 0);
     List<Job> jobs = new ArrayList<>();
     for (int i = 1; i <= 4; i++) {
-      jobs.add(World.job(i, JobKind.ARRAY, 3, 2));
+      jobs.add(Samples.job(i, JobKind.ARRAY, 3, 2));
     }
     jobs.forEach(world::submit);
     world.run(16);
@@ -198,7 +198,7 @@
     for (String inside : List.of("roost-0", "roost-1", "roost-2")) {
       World world = new World(5);
       List<Job> jobs = services(world, 6);
-      Job spread = World.job(20, JobKind.SERVICE, 4, 1, "blue", Priority.HIGH, true, false);
+      Job spread = Samples.job(20, JobKind.SERVICE, 4, 1, "blue", Priority.HIGH, true, false);
       jobs.add(spread);
       world.submit(spread);
       world.run(25);
--- a/src/test/java/eiderfork/core/TurnOrderTest.java
+++ b/src/test/java/eiderfork/core/TurnOrderTest.java
@@ -36,7 +36,7 @@
 
   /** The users want arrays done by their deadline, and nearly all by 1.5 times that. */
   private static Settings settings() {
-    Settings base = World.settings("roost-0");
+    Settings base = Samples.settings("roost-0");
     return new Settings(
         base.node(),
         base.zone(),
@@ -60,7 +60,8 @@
   /** An array whose image of 20 GB takes 10 s to fetch. */
   private JobEntry array(int number, int tasks, double estimateS, Double deadlineS) {
     Job like =
-        World.job(number, JobKind.ARRAY, tasks, 1, "blue", Priority.HIGH, false, false, "img", 20);
+        Samples.job(
+            number, JobKind.ARRAY, tasks, 1, "blue", Priority.HIGH, false, false, "img", 20);
     Job job =
         new Job(
             like.uid(),
--- a/src/test/java/eiderfork/core/UserRequestsTest.java
+++ b/src/test/java/eiderfork/core/UserRequestsTest.java
@@ -15,9 +15,10 @@
 
 /** Cancellations that a node carries out itself, against what the leader writes meanwhile. */
 class UserRequestsTest {
-  private static final Job JOB = World.job(1, JobKind.ARRAY, 2, 1);
+  private static final Job JOB = Samples.job(1, JobKind.ARRAY, 2, 1);
 
-  private final Context context = new Context(World.settings("roost-0"), new Random(1), 1_000_000);
+  private final Context context =
+      new Context(Samples.settings("roost-0"), new Random(1), 1_000_000);
   private final StateGate gate = new StateGate(context);
   private final Term term = new Term(context, gate, null);
   private final JobTable jobs = new JobTable(context, gate, term);
--- a/src/test/java/eiderfork/core/WorkerControlTest.java
+++ b/src/test/java/eiderfork/core/WorkerControlTest.java
@@ -28,7 +28,8 @@
   private static final Machine MACHINE = new Machine("n-1", "n-1:1", "g4", "a", false);
   private static final long SESSION = 1;
 
-  private final Context context = new Context(World.settings("roost-0"), new Random(1), 1_000_000);
+  private final Context context =
+      new Context(Samples.settings("roost-0"), new Random(1), 1_000_000);
   private final StateGate gate = new StateGate(context);
   private final Term term = new Term(context, gate, new NoListener());
   private final JobTable jobs = new JobTable(context, gate, term);
@@ -70,7 +71,7 @@
     fleet.types(
         ImmutableList.of(
             new MachineType("g4", new Resources(4, 4, 64), 50, 2, 8, 3, 4, ImmutableList.of("a"))));
-    job = jobs.add(World.job(1, JobKind.ARRAY, 2, 1), 1);
+    job = jobs.add(Samples.job(1, JobKind.ARRAY, 2, 1), 1);
     firstToken = term.firstToken() + 1;
     report(SESSION, 1, firstToken);
     machine = fleet.get("n-1");
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -1,19 +1,10 @@
 package eiderfork.core;
 
-import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
-import eiderfork.config.OperatorSettings;
 import eiderfork.config.Settings;
-import eiderfork.model.HostEntry;
 import eiderfork.model.Job;
-import eiderfork.model.JobKind;
 import eiderfork.model.Machine;
-import eiderfork.model.MachineType;
-import eiderfork.model.Priority;
 import eiderfork.model.Record;
-import eiderfork.model.Resources;
 import eiderfork.model.TaskId;
-import eiderfork.model.Team;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -40,30 +31,12 @@
     }
   }
 
-  private static final class Host {
-    final Machine machine;
-    final long rentedMs;
-    final long upMs;
-    long goneMs = Long.MAX_VALUE;
-    FakeWorker worker;
-
-    Host(Machine machine, long rentedMs, long upMs) {
-      this.machine = machine;
-      this.rentedMs = rentedMs;
-      this.upMs = upMs;
-    }
-  }
-
   final Random random;
 
-  /** The figures of the earlier deployments, and of those of many machines. */
-  static final Settings.Workers QUICK = new Settings.Workers(1, 10, 30);
-
-  static final Settings.Workers SLOW = new Settings.Workers(4, 22, 42);
-
   final Settings settings;
   private final int count;
   final FakeState state = new FakeState();
+  final FakeCloud cloud;
   final Checker checker;
   final Map<String, Controller> nodes = new TreeMap<>();
   private final Map<String, Integer> lives = new HashMap<>();
@@ -99,23 +72,12 @@
   /** How much longer the state service takes over each request. */
   long stateDelayMs;
 
-  /** How long a rented machine boots; 0 for 2 to 8 s. */
-  long bootMs;
-
   /** How much longer direct commands are under way. */
   long commandsLateMs;
 
   private long holdReportsUntilMs;
   private long reportsHeldMs;
 
-  boolean cloudDown;
-  int capacity = 10;
-
-  /** What the cloud has, and how much of each kind where that is not {@link #capacity}. */
-  ImmutableList<MachineType> types = SMALL_TYPES;
-
-  final Map<Cloud.Kind, Integer> stock = new HashMap<>();
-
   /** Machines on which, and jobs of which, every task fails. */
   final Set<String> badMachines = new HashSet<>();
 
@@ -126,15 +88,11 @@
   private long order;
   private long tickets;
   private final Map<Long, Consumer<Effect>> answers = new HashMap<>();
-  private final TreeMap<String, Host> hosts = new TreeMap<>();
-  private final Map<String, ImmutableList<String>> requests = new HashMap<>();
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Set<TaskId> results = new HashSet<>();
-  private int hostNames;
-  int returnedHosts;
 
   World(long seed) {
-    this(seed, settings("roost-0"));
+    this(seed, Samples.settings("roost-0"));
   }
 
   World(long seed, Settings settings) {
@@ -146,15 +104,11 @@
     return java.util.stream.IntStream.range(0, count).mapToObj(i -> "roost-" + i).toList();
   }
 
-  /** Three nodes stand in one zone; more are spread over the two by turns. */
-  private static String zone(int node, int count) {
-    return count > 3 && node % 2 == 1 ? "b" : "a";
-  }
-
   World(long seed, Settings settings, int count) {
     this.settings = settings;
     this.count = count;
     random = new Random(seed);
+    cloud = new FakeCloud(random, settings.cloudLimits().listLagS());
     checker = new Checker(settings.teams(), (long) (settings.workers().cancelS() * 1000));
     for (String node : all()) {
       boot(node);
@@ -162,102 +116,6 @@
     every(TICK_MS, this::tickWorld);
   }
 
-  /** Settings with the figures of a fleet of many machines. */
-  static Settings slow() {
-    return settings("roost-0", SLOW, new Settings.StateLimits(200, 40, 4), 0.2, 160, 3);
-  }
-
-  static Settings settings(String node) {
-    return settings(node, QUICK, new Settings.StateLimits(200, 40, 8), 0.2, 160, 3);
-  }
-
-  static Settings settings(
-      String node,
-      Settings.Workers workers,
-      Settings.StateLimits stateLimits,
-      double cpuShare,
-      int sockets,
-      int count) {
-    ImmutableMap.Builder<String, Settings.Endpoint> peers = ImmutableMap.builder();
-    ImmutableMap.Builder<String, String> peerZones = ImmutableMap.builder();
-    for (int i = 0; i < count; i++) {
-      if (!node.equals("roost-" + i)) {
-        peers.put("roost-" + i, new Settings.Endpoint("10.0.0." + (i + 1), 8081));
-        peerZones.put("roost-" + i, zone(i, count));
-      }
-    }
-    return new Settings(
-        node,
-        zone(node.charAt(node.length() - 1) - '0', count),
-        new Settings.Endpoint("10.0.0.1", 8080),
-        new Settings.Endpoint("10.0.0.1", 8081),
-        peers.build(),
-        peerZones.build(),
-        new Settings.Endpoint("10.2.0.2", 8443),
-        new Settings.Endpoint("10.2.0.1", 2379),
-        ImmutableMap.of("red", new Team("red", 0, 0, 4, 10), "blue", new Team("blue", 0, 0, 0, 0)),
-        ImmutableList.of(
-            new Settings.Objective(Settings.Objective.Kind.WAIT, "web", 5, 1, 0.9),
-            new Settings.Objective(Settings.Objective.Kind.FINISHED, "batch", 40, 1, 0.9)),
-        workers,
-        stateLimits,
-        new Settings.CloudLimits(2, 4),
-        new Settings.Controller(cpuShare, sockets),
-        OperatorSettings.DEFAULTS);
-  }
-
-  static Job job(int number, JobKind kind, int tasks, double gpus) {
-    return job(number, kind, tasks, gpus, "blue", Priority.HIGH, false, false);
-  }
-
-  static Job job(int number, JobKind kind, int tasks, double gpus, String image) {
-    return job(number, kind, tasks, gpus, "blue", Priority.HIGH, false, false, image, 1);
-  }
-
-  static Job job(
-      int number,
-      JobKind kind,
-      int tasks,
-      double gpus,
-      String team,
-      Priority priority,
-      boolean spread,
-      boolean spot) {
-    return job(number, kind, tasks, gpus, team, priority, spread, spot, "img", 1);
-  }
-
-  static Job job(
-      int number,
-      JobKind kind,
-      int tasks,
-      double gpus,
-      String team,
-      Priority priority,
-      boolean spread,
-      boolean spot,
-      String image,
-      double imageGb) {
-    return new Job(
-        "run-%06d".formatted(number),
-        kind == JobKind.SERVICE ? "web" : "batch",
-        team,
-        kind,
-        priority,
-        tasks,
-        new Resources(1, gpus, 4),
-        null,
-        null,
-        false,
-        spread,
-        spot,
-        image,
-        imageGb,
-        kind == JobKind.SERVICE ? 0 : 4,
-        0,
-        0,
-        null);
-  }
-
   Job job(String uid) {
     return jobs.get(uid);
   }
@@ -316,7 +174,7 @@
     for (String node : List.copyOf(nodes.keySet())) {
       input(node, new Input.Tick());
     }
-    for (Host host : hosts.values()) {
+    for (FakeCloud.Host host : cloud.hosts()) {
       if (host.worker == null && nowMs >= host.upMs && host.goneMs == Long.MAX_VALUE) {
         host.worker = new FakeWorker(this, host.machine, results);
       }
@@ -333,7 +191,7 @@
   void boot(String node) {
     lives.merge(node, 1, Integer::sum);
     Settings own =
-        settings(
+        Samples.settings(
             node,
             settings.workers(),
             settings.stateLimits(),
@@ -435,19 +293,19 @@
         call(node, it, "state", then -> serve(node, it.op(), then));
       }
     } else if (effect instanceof Effect.AskTypes it) {
-      cloud(node, it, () -> new Reply.Types(types));
+      askCloud(node, it, () -> new Reply.Types(cloud.types));
     } else if (effect instanceof Effect.AskRent it) {
-      cloud(node, it, () -> rent(it.rent()));
+      askCloud(node, it, () -> cloud.rent(it.rent(), nowMs));
     } else if (effect instanceof Effect.AskReturn it) {
-      cloud(
+      askCloud(
           node,
           it,
           () -> {
-            it.machines().forEach(this::giveBack);
+            it.machines().forEach(name -> cloud.giveBack(name, nowMs));
             return new Reply.Returned();
           });
     } else if (effect instanceof Effect.AskHosts it) {
-      cloud(node, it, () -> list(it.after()));
+      askCloud(node, it, () -> cloud.list(it.after(), nowMs));
     } else if (effect instanceof Effect.AskCommands it) {
       worker(
           node,
@@ -569,12 +427,12 @@
   void splitZones(long forMs) {
     for (int i = 0; i < count; i++) {
       for (int j = 0; j < count; j++) {
-        if (!zone(i, count).equals(zone(j, count))) {
+        if (!Samples.zone(i, count).equals(Samples.zone(j, count))) {
           cut("roost-" + i + ">roost-" + j, forMs);
         }
       }
       for (FakeWorker worker : workers()) {
-        if (!worker.machine.zone().equals(zone(i, count))) {
+        if (!worker.machine.zone().equals(Samples.zone(i, count))) {
           cut("roost-" + i + ">" + worker.machine.name(), forMs);
           cut(worker.machine.name() + ">roost-" + i, forMs);
         }
@@ -633,111 +491,23 @@
 
   // The cloud.
 
-  private static final ImmutableList<MachineType> SMALL_TYPES =
-      ImmutableList.of(
-          new MachineType(
-              "g4", new Resources(16, 4, 64), 50, 2, 8, 3, 4, ImmutableList.of("a", "b")),
-          new MachineType(
-              "c8", new Resources(8, 0, 32), 50, 1, 1, 0.4, 3, ImmutableList.of("a", "b")));
-
-  private void cloud(String node, Effect.Call call, java.util.function.Supplier<Reply> answer) {
+  private void askCloud(String node, Effect.Call call, java.util.function.Supplier<Reply> answer) {
     call(
         node,
         call,
         "cloud",
-        then -> then.accept(cloudDown ? new Reply.Refused(503) : answer.get()));
-  }
-
-  private Reply rent(Record.Rent rent) {
-    ImmutableList<String> known = requests.get(rent.requestName());
-    if (known != null) {
-      return new Reply.Rented(known);
-    }
-    ImmutableList.Builder<String> names = ImmutableList.builder();
-    long same =
-        hosts.values().stream()
-            .filter(
-                h ->
-                    h.goneMs == Long.MAX_VALUE
-                        && h.machine.type().equals(rent.type())
-                        && h.machine.zone().equals(rent.zone())
-                        && h.machine.spot() == rent.spot())
-            .count();
-    Cloud.Kind kind = new Cloud.Kind(rent.type(), rent.zone(), rent.spot());
-    int count = (int) Math.min(rent.count(), stock.getOrDefault(kind, capacity) - same);
-    for (int i = 0; i < count; i++) {
-      long slowMs = 2000 + random.nextLong(6000);
-      addHost(rent.type(), rent.zone(), rent.spot(), bootMs > 0 ? bootMs : slowMs);
-      names.add(hosts.lastKey());
-    }
-    if (count <= 0) {
-      return new Reply.NoCapacity();
-    }
-    requests.put(rent.requestName(), names.build());
-    return new Reply.Rented(names.build());
-  }
-
-  /** A machine that comes up after a while, asked for or not. */
-  void addHost(String type, String zone, boolean spot, long bootMs) {
-    String name = "n-%06d".formatted(++hostNames);
-    Machine machine = new Machine(name, name + ":9000", type, zone, spot);
-    hosts.put(name, new Host(machine, nowMs, nowMs + bootMs));
-  }
-
-  private void giveBack(String name) {
-    Host host = hosts.get(name);
-    if (host != null && host.goneMs == Long.MAX_VALUE) {
-      host.goneMs = nowMs;
-      returnedHosts++;
-      kill(host);
-    }
-  }
-
-  private void kill(Host host) {
-    if (host.worker != null) {
-      host.worker.loseAll();
-      host.worker.dead = true;
-    }
-  }
-
-  /** A machine stops with all that is on it. */
-  void die(String name) {
-    Host host = hosts.get(name);
-    host.goneMs = nowMs;
-    kill(host);
-  }
-
-  private Reply list(String after) {
-    // A list may be as old as twice the lag, and older than the one before it.
-    long lagMs = (long) (settings.cloudLimits().listLagS() * 1000);
-    long asOfMs = nowMs - lagMs / 2 - random.nextLong(lagMs * 3 / 2);
-    ImmutableList.Builder<HostEntry> entries = ImmutableList.builder();
-    for (Host host : hosts.tailMap(after, false).values()) {
-      if (host.rentedMs <= asOfMs && host.goneMs > asOfMs) {
-        HostEntry.State s = host.upMs <= asOfMs ? HostEntry.State.RUNNING : HostEntry.State.BOOTING;
-        entries.add(new HostEntry(host.machine, s, (asOfMs - host.rentedMs) / 1000.0));
-      }
-    }
-    return new Reply.Hosts(entries.build(), false);
+        then -> then.accept(cloud.down ? new Reply.Refused(503) : answer.get()));
   }
 
   // Workers.
 
   List<FakeWorker> workers() {
-    List<FakeWorker> live = new ArrayList<>();
-    hosts
-        .values()
-        .forEach(
-            h -> {
-              if (h.worker != null && !h.worker.dead) {
-                live.add(h.worker);
-              }
-            });
-    return live;
+    return cloud.workers();
   }
 
-  long liveHosts() {
-    return hosts.values().stream().filter(h -> h.goneMs == Long.MAX_VALUE).count();
+  /** A machine stops with all that is on it. */
+  void die(String name) {
+    cloud.die(name, nowMs);
   }
 
   private void worker(
@@ -753,7 +523,7 @@
 
   private void deliver(
       String name, java.util.function.Function<FakeWorker, Reply> answer, Consumer<Reply> then) {
-    Host host = hosts.get(name);
+    FakeCloud.Host host = cloud.host(name);
     if (host == null || host.worker == null || host.worker.dead) {
       return;
     }
