--- a/src/main/java/eiderfork/config/Settings.java
+++ b/src/main/java/eiderfork/config/Settings.java
@@ -18,6 +18,7 @@
     ImmutableList<Objective> objectives,
     Workers workers,
     StateLimits stateLimits,
+    StateLimits nextStateLimits,
     CloudLimits cloudLimits,
     Controller controller,
     OperatorSettings operator) {
@@ -82,6 +83,14 @@
   /** What the state service takes: requests and changes a second, and the size of a value. */
   public record StateLimits(double rps, double writeRps, double valueKb) {}
 
+  /**
+   * The largest value that the state service takes now and after its limits have changed to {@code
+   * nextStateLimits}, which comes without notice.
+   */
+  public double alwaysStorableKb() {
+    return Math.min(stateLimits.valueKb(), nextStateLimits.valueKb());
+  }
+
   /** What a controller's machine gives it: a share of one core, and sockets. */
   public record Controller(double cpuShare, int sockets) {
     /** Workers and users come in on sockets of their own; this part is for what goes out. */
--- a/src/main/java/eiderfork/config/SettingsFile.java
+++ b/src/main/java/eiderfork/config/SettingsFile.java
@@ -83,7 +83,6 @@
     double reportS = positive(workers, inWorkers, "report_s");
     double leaseS = positive(workers, inWorkers, "lease_s");
     double cancelS = positive(workers, inWorkers, "cancel_s");
-    double valueKb = positive(state, inState, "value_kb");
     check(leaseS >= 2 * reportS, inWorkers, "lease_s", "shorter than two reports (report_s)");
     check(
         cancelS > leaseS + 2 * reportS,
@@ -91,16 +90,11 @@
         "cancel_s",
         "no longer than a lease and two reports (lease_s, report_s), in which a machine that is cut"
             + " off ends its tasks");
-    check(
-        AllocSize.anyFits(Job.MOST_TASKS, MOST_NAME_BYTES, valueKb),
-        inState,
-        "value_kb",
-        "too small for the record of any job");
-    check(
-        positive(state, inState, "txn_ops") >= SAFE_CHANGES,
-        inState,
-        "txn_ops",
-        "fewer changes than taking the lead writes at once (" + SAFE_CHANGES + ")");
+    Settings.StateLimits stateLimits = stateLimits(state, inState, state);
+    Settings.StateLimits nextStateLimits =
+        state.has("next")
+            ? stateLimits(table(state, inState, "next"), inState + ".next", state)
+            : stateLimits;
     check(
         number(resources, inResources, "memory_mb", LEAST_MEMORY_MB) >= LEAST_MEMORY_MB,
         inResources,
@@ -118,8 +112,8 @@
         teams(deployment),
         objectives(deployment),
         new Settings.Workers(reportS, leaseS, cancelS),
-        new Settings.StateLimits(
-            positive(state, inState, "rps"), positive(state, inState, "write_rps"), valueKb),
+        stateLimits,
+        nextStateLimits,
         new Settings.CloudLimits(
             positive(cloud, inCloud, "rps"), positive(cloud, inCloud, "list_lag_s")),
         new Settings.Controller(
@@ -128,6 +122,34 @@
         operator);
   }
 
+  /**
+   * The limits that a table states, checked for what this program writes.
+   *
+   * @param fallback has the figures that the table leaves as they are
+   */
+  private Settings.StateLimits stateLimits(JsonNode table, String at, JsonNode fallback)
+      throws BadSettings {
+    double valueKb = positive(either(table, fallback, "value_kb"), at, "value_kb");
+    check(
+        AllocSize.anyFits(Job.MOST_TASKS, MOST_NAME_BYTES, valueKb),
+        at,
+        "value_kb",
+        "too small for the record of any job");
+    check(
+        positive(either(table, fallback, "txn_ops"), at, "txn_ops") >= SAFE_CHANGES,
+        at,
+        "txn_ops",
+        "fewer changes than taking the lead writes at once (" + SAFE_CHANGES + ")");
+    return new Settings.StateLimits(
+        positive(either(table, fallback, "rps"), at, "rps"),
+        positive(either(table, fallback, "write_rps"), at, "write_rps"),
+        valueKb);
+  }
+
+  private static JsonNode either(JsonNode table, JsonNode fallback, String name) {
+    return table.has(name) ? table : fallback;
+  }
+
   private ImmutableMap<String, Team> teams(JsonNode deployment) throws BadSettings {
     String at = "deployment.teams";
     ImmutableMap.Builder<String, Team> teams = ImmutableMap.builder();
--- /dev/null
+++ b/src/main/java/eiderfork/core/AllocWriter.java
@@ -0,0 +1,234 @@
+package eiderfork.core;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.model.Record;
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes the alloc records of jobs: one conditional write at a time for a job, repeated under the
+ * same conditions until it is known whether it was applied.
+ */
+final class AllocWriter {
+  private static final Logger LOG = LoggerFactory.getLogger(AllocWriter.class);
+
+  /** A write under way, and what memory holds as settled or reserved once it is applied. */
+  private record Write(
+      JobEntry entry,
+      Record.Alloc record,
+      ImmutableList<Reservation> proposed,
+      ImmutableList<Reservation> settled,
+      Urgency urgency) {}
+
+  private final Context context;
+  private final StateGate gate;
+  private final Term term;
+  private final ClusterVersion version;
+  private final JobTable jobs;
+
+  /** What is tried again once its backoff is over. */
+  private final List<Runnable> repeats = new ArrayList<>();
+
+  AllocWriter(Context context, StateGate gate, Term term, ClusterVersion version, JobTable jobs) {
+    this.context = context;
+    this.gate = gate;
+    this.term = term;
+    this.version = version;
+    this.jobs = jobs;
+  }
+
+  /** Writes what changed of a job, in one conditional write. */
+  void write(JobEntry entry, Urgency urgency) {
+    Record.Alloc record = entry.toRecord();
+    ImmutableList.Builder<Reservation> proposed = ImmutableList.builder();
+    for (Reservation p : entry.placed.values()) {
+      if (!p.committed) {
+        proposed.add(p);
+      }
+    }
+    ImmutableList<Reservation> settled = ImmutableList.copyOf(entry.uncommitted);
+    entry.dirty = false;
+    entry.writing = true;
+    entry.ending = record.done();
+    entry.writtenMs = context.nowMs;
+    send(new Write(entry, record, proposed.build(), settled, urgency));
+  }
+
+  void tick() {
+    if (!repeats.isEmpty()) {
+      List<Runnable> due = new ArrayList<>(repeats);
+      repeats.clear();
+      due.forEach(Runnable::run);
+    }
+  }
+
+  private boolean isStale(Write write) {
+    return jobs.get(write.entry.job.uid()) != write.entry || !term.leading();
+  }
+
+  private void send(Write write) {
+    if (isStale(write)) {
+      return;
+    }
+    String uid = write.entry.job.uid();
+    Record stored = version.isCurrent() ? new Record.PackedAlloc(write.record) : write.record;
+    gate.send(
+        new StateOp.Transact(
+            ImmutableList.of(
+                term.condition(),
+                new StateOp.Condition(Keys.alloc(uid), write.entry.allocVersion),
+                new StateOp.Condition(Keys.abort(uid), 0)),
+            ImmutableList.of(StateOp.Change.put(Keys.alloc(uid), stored))),
+        write.urgency,
+        reply -> answered(write, reply));
+  }
+
+  private void answered(Write write, Reply reply) {
+    if (jobs.get(write.entry.job.uid()) != write.entry) {
+      return;
+    }
+    if (reply instanceof Reply.Committed committed) {
+      applied(write, committed.revision());
+    } else if (reply instanceof Reply.Conflict conflict) {
+      conflict(write, conflict);
+    } else if (reply instanceof Reply.Refused refused && refused.isMalformed()) {
+      tooLarge(write);
+    } else {
+      // It may still apply: the same write under the same conditions is safe to repeat.
+      repeat(write.entry, () -> send(write));
+    }
+  }
+
+  private void repeat(JobEntry entry, Runnable again) {
+    entry.writeNotBeforeMs = context.nowMs + entry.writeBackoff.next(context.random);
+    repeats.add(
+        new Runnable() {
+          @Override
+          public void run() {
+            if (context.nowMs < entry.writeNotBeforeMs) {
+              repeats.add(this);
+            } else {
+              again.run();
+            }
+          }
+        });
+  }
+
+  private void applied(Write write, long stamp) {
+    JobEntry entry = write.entry;
+    entry.writing = false;
+    entry.ending = false;
+    entry.writeBackoff.reset();
+    entry.committed = write.record;
+    entry.allocVersion = stamp;
+    for (Reservation p : write.proposed) {
+      p.committed = true;
+      if (entry.placed.get(p.index) == p) {
+        p.machine.urgent = true;
+      }
+    }
+    entry.uncommitted.removeAll(write.settled);
+    if (write.record.done()) {
+      LOG.debug("job {} is done", entry.job.uid());
+    }
+    if (entry.aborted) {
+      jobs.dropUncommitted(entry);
+    }
+    jobs.retireIfOver(entry);
+  }
+
+  private void conflict(Write write, Reply.Conflict conflict) {
+    JobEntry entry = write.entry;
+    String uid = entry.job.uid();
+    if (conflict.failed().contains(Keys.LEADER)) {
+      term.conditionFailed();
+      return;
+    }
+    if (conflict.failed().contains(Keys.alloc(uid))) {
+      // Only the leader writes this key, so an earlier copy of this write has been applied.
+      boolean aborted = conflict.failed().contains(Keys.abort(uid));
+      readStored(
+          write,
+          value -> {
+            if (!appliedAsRead(write, value)) {
+              LOG.error("alloc of {} is not what this leader wrote", uid);
+              term.resign(0);
+            } else if (aborted) {
+              jobs.markAborted(uid);
+            }
+          });
+      return;
+    }
+    entry.writing = false;
+    entry.ending = false;
+    jobs.markAborted(uid);
+    jobs.dropUncommitted(entry);
+    jobs.retireIfOver(entry);
+  }
+
+  /**
+   * The record is larger than the service takes now. An earlier copy of the write may have been
+   * applied before the limit fell, but none can be after this answer.
+   */
+  private void tooLarge(Write write) {
+    readStored(
+        write,
+        value -> {
+          if (value.version() == write.entry.allocVersion) {
+            notApplied(write);
+          } else if (!appliedAsRead(write, value)) {
+            LOG.error("alloc of {} is not what this leader wrote", write.entry.job.uid());
+            term.resign(0);
+          }
+        });
+  }
+
+  private void readStored(Write write, java.util.function.Consumer<Reply.Value> then) {
+    gate.send(
+        new StateOp.Get(Keys.alloc(write.entry.job.uid())),
+        Urgency.START,
+        reply -> {
+          if (isStale(write)) {
+            return;
+          }
+          if (reply instanceof Reply.Value value) {
+            then.accept(value);
+          } else {
+            repeat(write.entry, () -> readStored(write, then));
+          }
+        });
+  }
+
+  private boolean appliedAsRead(Write write, Reply.Value value) {
+    if (!write.record.equals(value.record())) {
+      return false;
+    }
+    applied(write, value.version());
+    return true;
+  }
+
+  /**
+   * What was to be reserved waits for its turn again. The job is written anew once more of its
+   * tasks have ended, or after a while.
+   */
+  private void notApplied(Write write) {
+    JobEntry entry = write.entry;
+    LOG.info("alloc of {} is too large to be written", entry.job.uid());
+    entry.writing = false;
+    entry.ending = false;
+    entry.blockWrites(context.nowMs + entry.sizeBackoff.next(context.random));
+    for (Reservation p : write.proposed) {
+      if (entry.placed.get(p.index) == p && !entry.aborted) {
+        jobs.withdraw(p);
+      }
+    }
+    if (entry.aborted) {
+      jobs.dropUncommitted(entry);
+    } else {
+      entry.dirty = true;
+    }
+    jobs.retireIfOver(entry);
+  }
+}
--- a/src/main/java/eiderfork/core/Cloud.java
+++ b/src/main/java/eiderfork/core/Cloud.java
@@ -32,6 +32,12 @@
   /** The most machines that the protocol lets one return name. */
   private static final int RETURN_MOST = 100;
 
+  /** How much of a value the names of a return may take. */
+  private static final double VALUE_SHARE = 0.8;
+
+  /** Quotes and comma around a name. */
+  private static final int AROUND_NAME = 3;
+
   /** How a rent stands. */
   private static final class Rent {
     final Record.Rent record;
@@ -271,8 +277,7 @@
   void tick() {
     keepRevived();
     if (!toReturn.isEmpty()) {
-      ImmutableList<String> batch =
-          ImmutableList.copyOf(com.google.common.collect.Iterables.limit(toReturn, RETURN_MOST));
+      ImmutableList<String> batch = returnBatch();
       batch.forEach(toReturn::remove);
       String key = Keys.RETURN + "t" + term.number() + "-" + ++names;
       Return it = new Return(key, batch, backoff());
@@ -314,6 +319,22 @@
     forgetSettledRents();
   }
 
+  /** The machines of the next return, as many as it may name and its reservation may hold. */
+  private ImmutableList<String> returnBatch() {
+    double leftBytes = context.settings.alwaysStorableKb() * 1024 * VALUE_SHARE;
+    ImmutableList.Builder<String> batch = ImmutableList.builder();
+    int count = 0;
+    for (String name : toReturn) {
+      leftBytes -= name.length() + AROUND_NAME;
+      if (count == RETURN_MOST || count > 0 && leftBytes < 0) {
+        break;
+      }
+      batch.add(name);
+      count++;
+    }
+    return batch.build();
+  }
+
   private boolean take() {
     return bucket.take(1, context.nowMs);
   }
--- /dev/null
+++ b/src/main/java/eiderfork/core/ClusterVersion.java
@@ -0,0 +1,128 @@
+package eiderfork.core;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.model.Record;
+import java.util.HashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The newest version that every member of the cluster is known to run. What an older version can't
+ * read is written, and what it can't do is accepted, only from that version on.
+ *
+ * <p>Each member tells its version with its pings. The first leader that has heard of the current
+ * version from all of them stores it, so that no later leader needs the proof again; from then on
+ * no member may be taken back to an older version.
+ */
+final class ClusterVersion {
+  private static final Logger LOG = LoggerFactory.getLogger(ClusterVersion.class);
+
+  /** The version of a member that does not tell its version. */
+  static final int FIRST = 1;
+
+  /** The version of this program. It counts up with each form that the one before can't read. */
+  static final int CURRENT = 2;
+
+  private final Context context;
+  private final StateGate gate;
+  private final Term term;
+  private final Map<String, Integer> peers = new HashMap<>();
+  private final int own;
+  private int stored = FIRST;
+  private long storedStamp;
+  private boolean storing;
+  private long nextStoreMs;
+
+  /**
+   * @param own the version of this node, which tests set to an earlier one
+   */
+  ClusterVersion(Context context, StateGate gate, Term term, int own) {
+    this.own = own;
+    this.context = context;
+    this.gate = gate;
+    this.term = term;
+  }
+
+  ClusterVersion(Context context, StateGate gate, Term term) {
+    this(context, gate, term, CURRENT);
+  }
+
+  /** The version that this node runs. */
+  int own() {
+    return own;
+  }
+
+  /** Whether every member is known to run the current version or a later one. */
+  boolean isCurrent() {
+    return own >= CURRENT && (stored >= CURRENT || allPeersAreCurrent());
+  }
+
+  private boolean allPeersAreCurrent() {
+    return context.settings.peers().keySet().stream()
+        .allMatch(node -> peers.getOrDefault(node, FIRST) >= CURRENT);
+  }
+
+  /** A peer answered a question of this node, so that it runs this version now. */
+  void answered(String node, int version) {
+    peers.put(node, version);
+  }
+
+  /** A peer's message says this; it may be an old copy, so that it proves no newer version. */
+  void heard(String node, int version) {
+    if (version < peers.getOrDefault(node, FIRST)) {
+      peers.put(node, version);
+    }
+  }
+
+  /** The state service holds this version. */
+  void read(Record.StoredVersion record, long stamp) {
+    stored = Math.max(stored, record.version());
+    storedStamp = Math.max(storedStamp, stamp);
+  }
+
+  /**
+   * Reads the stored version for a node that has no proof of its own, and goes on with {@code
+   * then}.
+   */
+  void load(Runnable then) {
+    gate.send(
+        new StateOp.Get(Keys.VERSION),
+        Urgency.SUBMIT,
+        reply -> {
+          if (reply instanceof Reply.Value value
+              && value.record() instanceof Record.StoredVersion record) {
+            read(record, value.version());
+          }
+          then.run();
+        });
+  }
+
+  /** Stores the current version once all members run it; only a leader that has rebuilt does. */
+  void tick() {
+    boolean due = own >= CURRENT && stored < CURRENT && allPeersAreCurrent();
+    if (due && !storing && context.nowMs >= nextStoreMs) {
+      store();
+    }
+  }
+
+  private void store() {
+    storing = true;
+    nextStoreMs = context.nowMs + context.stepMs();
+    Record.StoredVersion record = new Record.StoredVersion(CURRENT);
+    gate.send(
+        new StateOp.Transact(
+            ImmutableList.of(term.condition(), new StateOp.Condition(Keys.VERSION, storedStamp)),
+            ImmutableList.of(StateOp.Change.put(Keys.VERSION, record))),
+        Urgency.FLEET,
+        reply -> {
+          storing = false;
+          if (reply instanceof Reply.Committed committed) {
+            LOG.info("every member runs version {}", CURRENT);
+            read(record, committed.revision());
+          } else if (reply instanceof Reply.Conflict) {
+            load(() -> {});
+          }
+        });
+  }
+}
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -32,7 +32,7 @@
 
   /** Cancellations come first: no worker's lease is renewed before they are known. */
   private static final String[] REBUILT_FROM = {
-    Keys.ABORT, Keys.TYPES, Keys.JOB, Keys.ALLOC, Keys.RENT, Keys.RETURN
+    Keys.ABORT, Keys.VERSION, Keys.TYPES, Keys.JOB, Keys.ALLOC, Keys.RENT, Keys.RETURN
   };
 
   private final Context context;
@@ -45,6 +45,7 @@
   private final Placer placer;
   private final Cloud cloud;
   private final Planner planner;
+  private final ClusterVersion version;
   private final Peers peers;
   private final ReadBarrier readBarrier;
   private final Cancellations cancellations;
@@ -75,26 +76,41 @@
    * @param nowMs the steady time now
    */
   public Controller(Settings settings, RandomGenerator random, long nowMs) {
+    this(settings, random, nowMs, ClusterVersion.CURRENT);
+  }
+
+  /** Makes a controller that tells its peers, and holds itself to, this version. */
+  Controller(Settings settings, RandomGenerator random, long nowMs, int ownVersion) {
     context = new Context(settings, random, nowMs);
     gate = new StateGate(context);
     term = new Term(context, gate, this);
-    jobs = new JobTable(context, gate, term);
+    version = new ClusterVersion(context, gate, term, ownVersion);
+    jobs = new JobTable(context, gate, term, version);
     fleet = new Fleet(context, jobs);
     cancellations = new Cancellations(context, this::cancelled);
-    peers = new Peers(context, term, cancellations);
+    peers = new Peers(context, term, cancellations, version);
     leaseProxy = new LeaseProxy(context, gate, term, peers, cancellations);
     liveness = new MachineLiveness(context, term);
     LeaseLapses lapses =
         new LeaseLapses(context, fleet, peers, liveness, this::readProxied, this::kick);
     workers =
         new WorkerControl(context, term, jobs, fleet, cancellations, liveness, lapses, this::kick);
-    placer = new Placer(context, term, gate, jobs, fleet, liveness);
+    placer = new Placer(context, term, gate, jobs, fleet, liveness, version);
     cloud = new Cloud(context, term, gate, fleet);
     planner = new Planner(context, gate, jobs, fleet, liveness, lapses, cloud, placer);
     readBarrier = new ReadBarrier(context, gate, this::changed, cancellations::caughtUp);
     users =
         new UserRequests(
-            context, term, gate, jobs, fleet, planner, readBarrier, cancellations, this::kick);
+            context,
+            term,
+            gate,
+            jobs,
+            fleet,
+            planner,
+            readBarrier,
+            cancellations,
+            version,
+            this::kick);
   }
 
   /** Takes one input at {@code nowMs} of a steady clock, and says what follows from it. */
@@ -187,6 +203,7 @@
         term.leading(),
         gate.servedAgeMs(),
         heard(),
+        version.own(),
         cancellations.newsFor(peer));
   }
 
@@ -214,6 +231,7 @@
     if (term.leading()) {
       workers.tick();
       if (rebuilt && term.sure()) {
+        version.tick();
         cloud.tick();
         if (context.nowMs >= nextPlanMs && !fleet.types().isEmpty()) {
           nextPlanMs = context.nowMs + context.stepMs();
@@ -448,6 +466,8 @@
       cloud.restoreRent(rent);
     } else if (record instanceof Record.Return back) {
       cloud.restoreReturn(item.key(), back);
+    } else if (record instanceof Record.StoredVersion stored) {
+      version.read(stored, item.version());
     } else if (record instanceof Record.Types types) {
       fleet.types(types.types());
     }
--- /dev/null
+++ b/src/main/java/eiderfork/core/Gang.java
@@ -0,0 +1,70 @@
+package eiderfork.core;
+
+/**
+ * What the tasks of a gang have in common. They are reserved together as one attempt, stop
+ * together, and no task starts again before every task of the attempt before has surely ended.
+ */
+final class Gang {
+  /** How the attempt under way is being stopped. */
+  private enum Stop {
+    NONE,
+    /** Each task is given the time that it needs to save. */
+    SAVING,
+    AT_ONCE
+  }
+
+  private final JobEntry job;
+  private Stop stop = Stop.NONE;
+
+  Gang(JobEntry job) {
+    this.job = job;
+  }
+
+  /** Whether nothing of an earlier attempt is left, so that a new one may be reserved. */
+  boolean mayBegin() {
+    return job.placed.isEmpty();
+  }
+
+  /** A new attempt is reserved. */
+  void begin() {
+    stop = Stop.NONE;
+  }
+
+  /**
+   * A task is gone without being done. The others can't go on, and what they did since the last
+   * checkpoint is lost or saved already: a task that has saved exits only once all have.
+   */
+  void taskLost() {
+    stop(Stop.AT_ONCE);
+  }
+
+  /** Saves the progress of a gang that has to leave a machine, or goes on with a save under way. */
+  void save() {
+    if (stop == Stop.NONE) {
+      stop(Stop.SAVING);
+    }
+  }
+
+  /**
+   * The cloud takes one of the gang's machines away in {@code noticeS}. The progress is saved where
+   * there is time for it; otherwise the gang goes on, since it may be done before.
+   */
+  void machineNoticed(double noticeS) {
+    if (job.job.checkpointS() > 0 && noticeS > job.job.saveS()) {
+      save();
+    }
+  }
+
+  private void stop(Stop how) {
+    stop = how;
+    for (Reservation task : job.placed.values()) {
+      task.stopping = true;
+      task.machine.urgent = true;
+    }
+  }
+
+  /** The time that a task gets to save when it is told to stop. */
+  double graceS() {
+    return stop == Stop.SAVING ? job.job.saveS() : 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/core/GangPlacer.java
@@ -0,0 +1,111 @@
+package eiderfork.core;
+
+import eiderfork.model.Job;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/** Finds room for all tasks of a gang at once, or reserves nothing. */
+final class GangPlacer {
+  private final JobTable jobs;
+  private final RoundRoom room;
+  private final RandomGenerator random;
+  private final double fullSearchMost;
+
+  /**
+   * @param fullSearchMost past this many looks at machines in a round a search takes a sample
+   */
+  GangPlacer(JobTable jobs, RoundRoom room, RandomGenerator random, double fullSearchMost) {
+    this.jobs = jobs;
+    this.room = room;
+    this.random = random;
+    this.fullSearchMost = fullSearchMost;
+  }
+
+  /** Proposes reservations for the whole gang; whether there was room for it. */
+  boolean place(JobEntry entry, MachineScore score, AllocRoom stored) {
+    for (Map<String, Integer> perZone : zoneChoices(entry)) {
+      if (holdsAll(entry, perZone) && placeIn(perZone, entry, score, stored)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Has room made for the whole gang; whether that is under way. */
+  boolean makeRoom(JobEntry entry, Preemption preemption) {
+    for (Map<String, Integer> perZone : zoneChoices(entry)) {
+      if (preemption.makeRoomForAll(entry, perZone)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * The tasks that each zone holds, to begin a search with. A gang that has to be in one zone is
+   * tried in one after the other: the best machine for its first task may stand where the others
+   * find no room.
+   */
+  private List<Map<String, Integer>> zoneChoices(JobEntry entry) {
+    List<Map<String, Integer>> choices = new ArrayList<>();
+    if (!entry.job.oneZone()) {
+      choices.add(new HashMap<>());
+      return choices;
+    }
+    for (String zone : room.openZones(entry, Map.of())) {
+      Map<String, Integer> perZone = new HashMap<>();
+      perZone.put(zone, 0);
+      choices.add(perZone);
+    }
+    return choices;
+  }
+
+  /** Whether the machines have room for every task, before any of them is looked at closely. */
+  private boolean holdsAll(JobEntry entry, Map<String, Integer> perZone) {
+    Job job = entry.job;
+    Map<String, Integer> fitting = new HashMap<>();
+    for (MachineEntry machine : room.machines()) {
+      room.countExamined();
+      int fits = room.of(machine).count(job.need());
+      if (fits > 0 && room.allowed(entry, machine, perZone)) {
+        fitting.merge(machine.zone(), Math.min(fits, job.tasks()), Integer::sum);
+      }
+    }
+    int total = 0;
+    for (int tasks : fitting.values()) {
+      total += Math.min(tasks, job.perZone());
+    }
+    return total >= job.tasks();
+  }
+
+  private boolean placeIn(
+      Map<String, Integer> perZone, JobEntry entry, MachineScore score, AllocRoom stored) {
+    long attempt = entry.nextAttempt();
+    List<Reservation> proposed = new ArrayList<>();
+    MachineSearch search =
+        new MachineSearch(room, score, random, fullSearchMost, entry, perZone, false);
+    for (int index = 0; index < entry.job.tasks(); index++) {
+      MachineEntry machine = search.best();
+      if (machine == null || !stored.fits(attempt, machine.name)) {
+        withdraw(proposed, entry);
+        return false;
+      }
+      proposed.add(jobs.propose(entry, index, attempt, machine));
+      stored.add(attempt, machine.name);
+      room.take(machine, entry.job.need());
+      perZone.merge(machine.zone(), 1, Integer::sum);
+      search.taken();
+    }
+    return true;
+  }
+
+  private void withdraw(List<Reservation> proposed, JobEntry entry) {
+    for (Reservation task : proposed) {
+      jobs.withdraw(task);
+      room.giveBack(task.machine, entry.job.need());
+    }
+  }
+}
--- a/src/main/java/eiderfork/core/JobEntry.java
+++ b/src/main/java/eiderfork/core/JobEntry.java
@@ -3,8 +3,12 @@
 import com.google.common.collect.ImmutableList;
 import eiderfork.model.AllocSize;
 import eiderfork.model.Job;
+import eiderfork.model.JobKind;
 import eiderfork.model.JobStatus;
+import eiderfork.model.PackedAllocSize;
 import eiderfork.model.Record;
+import eiderfork.model.RecordSize;
+import eiderfork.model.TaskReport;
 import it.unimi.dsi.fastutil.ints.Int2ObjectAVLTreeMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectSortedMap;
 import java.util.BitSet;
@@ -55,6 +59,12 @@
   long writeNotBeforeMs;
   final Backoff writeBackoff;
 
+  /** Between writes of a record that is larger than the service takes. */
+  final Backoff sizeBackoff;
+
+  /** Until when the job is not written, since its record was too large. */
+  private long writesBlockedUntilMs;
+
   long lastAttempt;
   final Int2ObjectSortedMap<Reservation> placed = new Int2ObjectAVLTreeMap<>();
 
@@ -66,6 +76,9 @@
   /** Room was examined where the image comes in time; once is enough. */
   boolean soughtBetter;
 
+  /** What the tasks of a gang have in common; null for other jobs. */
+  final Gang gang;
+
   /** Tasks neither placed nor finished. */
   final BitSet waiting = new BitSet();
 
@@ -75,12 +88,20 @@
   int failures;
   long notBeforeMs;
 
-  JobEntry(Job job, TaskProfile profile, long order, long sinceMs, Backoff writeBackoff) {
+  JobEntry(
+      Job job,
+      TaskProfile profile,
+      long order,
+      long sinceMs,
+      Backoff writeBackoff,
+      Backoff sizeBackoff) {
     this.job = job;
     this.profile = profile;
     this.order = order;
     this.sinceMs = sinceMs;
     this.writeBackoff = writeBackoff;
+    this.sizeBackoff = sizeBackoff;
+    gang = job.kind() == JobKind.GANG ? new Gang(this) : null;
     waiting.set(0, job.tasks());
   }
 
@@ -97,11 +118,35 @@
     return frozen ? job.tasks() : placed.size() + uncommitted.size();
   }
 
+  /** Keeps the job from being written before that time. */
+  void blockWrites(long untilMs) {
+    writesBlockedUntilMs = untilMs;
+  }
+
+  /** Whether a write may begin now. */
+  boolean mayWrite(long nowMs) {
+    return !writing && !aborted && !aborting && nowMs >= writesBlockedUntilMs;
+  }
+
   void freeze() {
     frozen = true;
     waiting.clear();
   }
 
+  /** The number that the next attempts get, larger than that of any before. */
+  long nextAttempt() {
+    return Math.max(lastAttempt, committed.lastAttempt()) + 1;
+  }
+
+  /** How long a task that is told to stop may take to save. */
+  double stopGraceS() {
+    if (aborted) {
+      // Nobody wants what a cancelled task saves.
+      return 0;
+    }
+    return gang == null ? job.saveS() : gang.graceS();
+  }
+
   boolean allFinished() {
     return finished.cardinality() == job.tasks();
   }
@@ -116,13 +161,19 @@
   private int countRunning() {
     int n = 0;
     for (Reservation p : placed.values()) {
-      if (p.seen != null && !p.seen.equals(eiderfork.model.TaskReport.State.ENDED)) {
-        n++;
-      }
+      n += isShownRunning(p.seen) ? 1 : 0;
     }
     return n;
   }
 
+  /** A gang does not run before all of its tasks do; a replica that fetches is on its way. */
+  private boolean isShownRunning(TaskReport.State seen) {
+    if (seen == null || seen == TaskReport.State.ENDED) {
+      return false;
+    }
+    return gang == null || seen != TaskReport.State.FETCHING && seen != TaskReport.State.GATHERING;
+  }
+
   static JobStatus status(Job job, Record.Alloc alloc, int running) {
     int done = committedDone(alloc);
     if (alloc.done()) {
@@ -143,19 +194,34 @@
     return n;
   }
 
-  /** What the alloc record may take, with all that is reserved now. */
+  /** What the plain form of the alloc record may take, with all that is reserved now. */
   AllocSize size() {
+    AllocSize size = new AllocSize(job.tasks(), finishedRanges());
+    addPlaced(size);
+    return size;
+  }
+
+  /** The same for the packed form. */
+  PackedAllocSize packedSize() {
+    PackedAllocSize size = new PackedAllocSize(job.tasks(), finishedRanges());
+    addPlaced(size);
+    return size;
+  }
+
+  private void addPlaced(RecordSize size) {
+    for (Reservation p : placed.values()) {
+      size.add(p.attempt, p.machine.name);
+    }
+  }
+
+  private int finishedRanges() {
     int ranges = 0;
     for (int from = finished.nextSetBit(0);
         from >= 0;
         from = finished.nextSetBit(finished.nextClearBit(from))) {
       ranges++;
     }
-    AllocSize size = new AllocSize(job.tasks(), ranges);
-    for (Reservation p : placed.values()) {
-      size.add(p.attempt, p.machine.name);
-    }
-    return size;
+    return ranges;
   }
 
   /** The alloc record that says what is in memory now. */
--- a/src/main/java/eiderfork/core/JobTable.java
+++ b/src/main/java/eiderfork/core/JobTable.java
@@ -1,8 +1,6 @@
 package eiderfork.core;
 
-import com.google.common.collect.ImmutableList;
 import eiderfork.model.Job;
-import eiderfork.model.JobKind;
 import eiderfork.model.MachineType;
 import eiderfork.model.Record;
 import java.util.ArrayList;
@@ -14,16 +12,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
-/** The jobs of a leader, and the writing of their alloc records. */
+/** The jobs of a leader: what is reserved for them, what has ended and what waits. */
 final class JobTable {
-  private static final Logger LOG = LoggerFactory.getLogger(JobTable.class);
-
   private final Context context;
-  private final StateGate gate;
-  private final Term term;
+  private final AllocWriter writer;
   private final Map<String, JobEntry> jobs = new LinkedHashMap<>();
 
   /** Jobs that still have something to do, so that rounds skip the long past. */
@@ -34,10 +27,9 @@
   /** Jobs of which a stored record can't be read. */
   private final Set<String> frozen = new HashSet<>();
 
-  JobTable(Context context, StateGate gate, Term term) {
+  JobTable(Context context, StateGate gate, Term term, ClusterVersion version) {
     this.context = context;
-    this.gate = gate;
-    this.term = term;
+    writer = new AllocWriter(context, gate, term, version, this);
   }
 
   void clear() {
@@ -83,9 +75,10 @@
     if (known != null) {
       return known;
     }
-    Backoff backoff = new Backoff(context.stepMs() / 5, context.stepMs() * 2);
+    Backoff writeBackoff = new Backoff(context.stepMs() / 5, context.stepMs() * 2);
+    Backoff sizeBackoff = new Backoff(context.stepMs(), context.leaseMs());
     TaskProfile profile = profiles.computeIfAbsent(TaskProfile.of(job), s -> s);
-    JobEntry entry = new JobEntry(job, profile, order, context.nowMs, backoff);
+    JobEntry entry = new JobEntry(job, profile, order, context.nowMs, writeBackoff, sizeBackoff);
     jobs.put(job.uid(), entry);
     active.put(job.uid(), entry);
     return entry;
@@ -111,6 +104,7 @@
         machine.urgent |= entry.aborted;
       }
     }
+    restoreGang(entry);
     if (alloc.done()) {
       active.remove(entry.job.uid());
     } else {
@@ -121,6 +115,18 @@
     }
   }
 
+  /** An older leader may have seen a part of a gang end, and ended before it did what follows. */
+  private static void restoreGang(JobEntry entry) {
+    if (entry.gang == null || entry.committed.done()) {
+      return;
+    }
+    if (!entry.finished.isEmpty()) {
+      finishGang(entry);
+    } else if (!entry.waiting.isEmpty()) {
+      entry.gang.taskLost();
+    }
+  }
+
   /**
    * Notes which images the machines have been given, in the order in which the jobs were last
    * written. The alloc record of a cancelled service keeps its reservations, so a new leader knows
@@ -159,7 +165,8 @@
     retireIfOver(entry);
   }
 
-  private void retireIfOver(JobEntry entry) {
+  /** Takes a job that is over, and of which nothing is left, out of what rounds look at. */
+  void retireIfOver(JobEntry entry) {
     if (entry.over() && entry.placed.isEmpty() && !entry.writing) {
       active.remove(entry.job.uid());
     }
@@ -181,16 +188,25 @@
       entry.failures = 0;
     } else {
       entry.waiting.set(p.index);
-      if (entry.job.kind() == JobKind.GANG) {
-        // The others can't go on without it; they start again together.
-        for (Reservation other : entry.placed.values()) {
-          other.stopping = true;
-          other.machine.urgent = true;
-        }
-      }
     }
     entry.uncommitted.add(p);
     entry.dirty = true;
+    if (entry.gang != null && done) {
+      finishGang(entry);
+    } else if (entry.gang != null) {
+      entry.gang.taskLost();
+    }
+  }
+
+  /** The tasks of a gang complete together: where one is done, all are. */
+  private static void finishGang(JobEntry entry) {
+    for (Reservation other : List.copyOf(entry.placed.values())) {
+      drop(other);
+      entry.uncommitted.add(other);
+    }
+    entry.finished.set(0, entry.job.tasks());
+    entry.waiting.clear();
+    entry.dirty = true;
   }
 
   /** Takes back a proposal of this round. */
@@ -219,6 +235,9 @@
 
   Reservation propose(JobEntry entry, int index, long attempt, MachineEntry machine) {
     Reservation p = new Reservation(entry, index, attempt, machine);
+    if (entry.gang != null && entry.gang.mayBegin()) {
+      entry.gang.begin();
+    }
     entry.lastAttempt = attempt;
     entry.placed.put(index, p);
     entry.waiting.clear(index);
@@ -229,150 +248,15 @@
 
   /** Writes what changed of a job, in one conditional write. */
   void write(JobEntry entry, Urgency urgency) {
-    Record.Alloc record = entry.toRecord();
-    List<Reservation> proposed = new ArrayList<>();
-    for (Reservation p : entry.placed.values()) {
-      if (!p.committed) {
-        proposed.add(p);
-      }
-    }
-    List<Reservation> settled = List.copyOf(entry.uncommitted);
-    entry.dirty = false;
-    entry.writing = true;
-    entry.ending = record.done();
-    entry.writtenMs = context.nowMs;
-    send(entry, record, proposed, settled, urgency);
-  }
-
-  private void send(
-      JobEntry entry,
-      Record.Alloc record,
-      List<Reservation> proposed,
-      List<Reservation> settled,
-      Urgency urgency) {
-    String uid = entry.job.uid();
-    if (jobs.get(uid) != entry || !term.leading()) {
-      return;
-    }
-    gate.send(
-        new StateOp.Transact(
-            ImmutableList.of(
-                term.condition(),
-                new StateOp.Condition(Keys.alloc(uid), entry.allocVersion),
-                new StateOp.Condition(Keys.abort(uid), 0)),
-            ImmutableList.of(StateOp.Change.put(Keys.alloc(uid), record))),
-        urgency,
-        reply -> {
-          if (jobs.get(uid) != entry) {
-            return;
-          }
-          if (reply instanceof Reply.Committed committed) {
-            applied(entry, record, committed.revision(), proposed, settled);
-          } else if (reply instanceof Reply.Conflict conflict) {
-            conflict(entry, conflict, record, proposed, settled, urgency);
-          } else {
-            // It may still apply: the same write under the same conditions is safe to repeat.
-            repeat(entry, () -> send(entry, record, proposed, settled, urgency));
-          }
-        });
-  }
-
-  private final List<Runnable> repeats = new ArrayList<>();
-
-  private void repeat(JobEntry entry, Runnable again) {
-    entry.writeNotBeforeMs = context.nowMs + entry.writeBackoff.next(context.random);
-    repeats.add(
-        new Runnable() {
-          @Override
-          public void run() {
-            if (context.nowMs < entry.writeNotBeforeMs) {
-              repeats.add(this);
-            } else {
-              again.run();
-            }
-          }
-        });
+    writer.write(entry, urgency);
   }
 
   void tick() {
-    if (!repeats.isEmpty()) {
-      List<Runnable> due = new ArrayList<>(repeats);
-      repeats.clear();
-      due.forEach(Runnable::run);
-    }
-  }
-
-  private void applied(
-      JobEntry entry,
-      Record.Alloc record,
-      long version,
-      List<Reservation> proposed,
-      List<Reservation> settled) {
-    entry.writing = false;
-    entry.ending = false;
-    entry.writeBackoff.reset();
-    entry.committed = record;
-    entry.allocVersion = version;
-    for (Reservation p : proposed) {
-      p.committed = true;
-      if (entry.placed.get(p.index) == p) {
-        p.machine.urgent = true;
-      }
-    }
-    entry.uncommitted.removeAll(settled);
-    if (record.done()) {
-      LOG.debug("job {} is done", entry.job.uid());
-    }
-    if (entry.aborted) {
-      dropUnsent(entry);
-    }
-    retireIfOver(entry);
-  }
-
-  private void conflict(
-      JobEntry entry,
-      Reply.Conflict conflict,
-      Record.Alloc record,
-      List<Reservation> proposed,
-      List<Reservation> settled,
-      Urgency urgency) {
-    String uid = entry.job.uid();
-    if (conflict.failed().contains(Keys.LEADER)) {
-      term.conditionFailed();
-      return;
-    }
-    if (conflict.failed().contains(Keys.alloc(uid))) {
-      // Only the leader writes this key, so an earlier copy of this write has been applied.
-      gate.send(
-          new StateOp.Get(Keys.alloc(uid)),
-          Urgency.START,
-          reply -> {
-            if (jobs.get(uid) != entry) {
-              return;
-            }
-            if (!(reply instanceof Reply.Value value)) {
-              repeat(entry, () -> conflict(entry, conflict, record, proposed, settled, urgency));
-            } else if (record.equals(value.record())) {
-              applied(entry, record, value.version(), proposed, settled);
-              if (conflict.failed().contains(Keys.abort(uid))) {
-                markAborted(uid);
-              }
-            } else {
-              LOG.error("alloc of {} is not what this leader wrote", uid);
-              term.resign(0);
-            }
-          });
-      return;
-    }
-    entry.writing = false;
-    entry.ending = false;
-    markAborted(uid);
-    dropUnsent(entry);
-    retireIfOver(entry);
+    writer.tick();
   }
 
-  /** Reservations that were never committed, of a job that was cancelled meanwhile. */
-  private void dropUnsent(JobEntry entry) {
+  /** Drops reservations that were never committed, of a job that was cancelled meanwhile. */
+  void dropUncommitted(JobEntry entry) {
     for (Reservation p : List.copyOf(entry.placed.values())) {
       if (!p.committed) {
         drop(p);
--- a/src/main/java/eiderfork/core/Keys.java
+++ b/src/main/java/eiderfork/core/Keys.java
@@ -10,6 +10,7 @@
   public static final String ABORT = "abort/";
   public static final String RENT = "rent/";
   public static final String RETURN = "return/";
+  public static final String VERSION = "cluster-version";
   public static final String LEASE_PROXY = "deputy/";
 
   private Keys() {}
--- a/src/main/java/eiderfork/core/LeaseProxy.java
+++ b/src/main/java/eiderfork/core/LeaseProxy.java
@@ -237,7 +237,7 @@
     writing = true;
     nextWriteMs = context.nowMs + context.stepMs() / 2;
     List<String> batch = new ArrayList<>();
-    double leftBytes = context.settings.stateLimits().valueKb() * 1024 * VALUE_SHARE;
+    double leftBytes = context.settings.alwaysStorableKb() * 1024 * VALUE_SHARE;
     for (String name : wanted) {
       leftBytes -= name.length() + AROUND;
       if (leftBytes < 0) {
--- a/src/main/java/eiderfork/core/PeerView.java
+++ b/src/main/java/eiderfork/core/PeerView.java
@@ -5,6 +5,7 @@
  *
  * @param stateAgeMs how long ago the state service last served the node
  * @param machinesHeard how many machines reported to it lately, whatever it answered
+ * @param version the version that the node runs
  * @param news the cancellations that it confirmed and the receiver may not know
  */
 public record PeerView(
@@ -13,4 +14,5 @@
     boolean leading,
     long stateAgeMs,
     int machinesHeard,
+    int version,
     CancellationNews news) {}
--- a/src/main/java/eiderfork/core/Peers.java
+++ b/src/main/java/eiderfork/core/Peers.java
@@ -15,6 +15,7 @@
   private final Context context;
   private final Term term;
   private final Cancellations cancellations;
+  private final ClusterVersion version;
   private final Map<String, Seen> seen = new LinkedHashMap<>();
   private final Map<String, Boolean> asking = new LinkedHashMap<>();
 
@@ -24,10 +25,11 @@
   private long yieldedTo;
   private long nextMs;
 
-  Peers(Context context, Term term, Cancellations cancellations) {
+  Peers(Context context, Term term, Cancellations cancellations, ClusterVersion version) {
     this.context = context;
     this.term = term;
     this.cancellations = cancellations;
+    this.version = version;
     // Election and first answers come before the first ping, which loads Avro: on a sliver of a
     // core that takes as long as the election.
     nextMs = context.nowMs + context.stepMs() * 5 / 2;
@@ -55,6 +57,7 @@
               yielded(node, says.view());
               if (says.view().node().equals(node)) {
                 cancellations.answered(node, says.view().news(), askedMs);
+                version.answered(node, says.view().version());
               }
             }
           });
@@ -68,6 +71,7 @@
     }
     seen.put(view.node(), new Seen(view, context.nowMs));
     cancellations.heard(view.node(), view.news());
+    version.heard(view.node(), view.version());
     if (view.leading()) {
       term.heardLeader(view.node(), view.term());
     }
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -1,12 +1,10 @@
 package eiderfork.core;
 
 import eiderfork.config.Settings.Objective;
-import eiderfork.model.AllocSize;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Resources;
 import eiderfork.model.Team;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,12 +38,14 @@
   private final JobTable jobs;
   private final Fleet fleet;
   private final MachineLiveness liveness;
+  private final ClusterVersion version;
   private final JobRanking ranking;
   private final ImageFetch imageFetch;
   private final Deadlines deadlines;
 
   private final Map<String, Resources> usedByTeam = new HashMap<>();
   private final RoundRoom room = new RoundRoom();
+  private final GangPlacer gangPlacer;
 
   /** Before this time no room is made, since making it has taken its share of the processor. */
   private long makeRoomNotBeforeMs;
@@ -61,13 +61,15 @@
       StateGate gate,
       JobTable jobs,
       Fleet fleet,
-      MachineLiveness liveness) {
+      MachineLiveness liveness,
+      ClusterVersion version) {
     this.context = context;
     this.term = term;
     this.gate = gate;
     this.jobs = jobs;
     this.fleet = fleet;
     this.liveness = liveness;
+    this.version = version;
     deadlines = new Deadlines(context, fleet);
     ranking = new JobRanking(context, deadlines);
     imageFetch = new ImageFetch(context, fleet);
@@ -76,6 +78,7 @@
             * context.settings.controller().cpuShare()
             * context.stepS()
             * SEARCH_SHARE;
+    gangPlacer = new GangPlacer(jobs, room, context.random, fullSearchMost);
   }
 
   /** The balance of processors and GPUs that the jobs ask for. */
@@ -121,7 +124,11 @@
     for (JobEntry entry : ranked) {
       int before = entry.placed.size();
       if (!mayNotWrite(entry) && mayPlace(entry)) {
-        place(entry, preemption);
+        if (entry.gang == null) {
+          place(entry, preemption);
+        } else {
+          placeGang(entry, preemption);
+        }
       }
       if (entry.placed.size() > before) {
         jobs.write(entry, startUrgency(entry));
@@ -136,8 +143,8 @@
     return left;
   }
 
-  private static boolean mayNotWrite(JobEntry entry) {
-    return entry.writing || entry.aborted || entry.aborting;
+  private boolean mayNotWrite(JobEntry entry) {
+    return !entry.mayWrite(context.nowMs);
   }
 
   /** Writes what only ended, once it was collected for long enough; whether some is left. */
@@ -195,15 +202,10 @@
     Team team = context.settings.teams().get(job.team());
     Map<String, Integer> perZone = PlacementRules.zonesOf(entry);
     Resources used = usedByTeam.getOrDefault(job.team(), Resources.NONE);
-    boolean gang = job.kind() == JobKind.GANG;
-    if (gang && !entry.placed.isEmpty()) {
-      return;
-    }
     List<RoundRoom.Claim> own = room.takeClaims(entry);
     boolean noRoom = false;
-    List<Reservation> proposed = new ArrayList<>();
-    long attempt = Math.max(entry.lastAttempt, entry.committed.lastAttempt()) + 1;
-    AllocSize size = entry.size();
+    long attempt = entry.nextAttempt();
+    AllocRoom stored = allocRoom(entry);
     MachineScore score = new MachineScore(context, imageFetch, balance, deadlines, entry);
     MachineSearch search =
         new MachineSearch(
@@ -215,7 +217,7 @@
         break;
       }
       MachineEntry m = search.best();
-      if (m != null && !size.fits(attempt, m.name, context.settings.stateLimits().valueKb())) {
+      if (m != null && !stored.fits(attempt, m.name)) {
         break;
       }
       if (m == null || (late(job, m) && waitsForBetter(entry, own, preemption, perZone))) {
@@ -231,22 +233,14 @@
             m.name,
             imageFetch.waitS(job, m));
       }
-      proposed.add(jobs.propose(entry, index, attempt, m));
-      size.add(attempt, m.name);
+      jobs.propose(entry, index, attempt, m);
+      stored.add(attempt, m.name);
       own.removeIf(claim -> claim.machine() == m);
       room.take(m, job.need());
       perZone.merge(m.zone(), 1, Integer::sum);
       search.taken();
       used = used.plus(job.need());
     }
-    if (gang && !entry.waiting.isEmpty()) {
-      for (Reservation p : proposed) {
-        jobs.withdraw(p);
-        room.giveBack(p.machine, job.need());
-        used = used.minus(job.need());
-      }
-      room.failedSearches().clear();
-    }
     usedByTeam.put(job.team(), used);
     int kept = Math.min(own.size(), entry.waiting.cardinality());
     own.subList(0, kept).forEach(room::claim);
@@ -255,6 +249,31 @@
     }
   }
 
+  /** Places a gang as a whole, or has room made for the whole of it. */
+  private void placeGang(JobEntry entry, Preemption preemption) {
+    Job job = entry.job;
+    Team team = context.settings.teams().get(job.team());
+    Resources used = usedByTeam.getOrDefault(job.team(), Resources.NONE);
+    Resources with = used.plus(job.need().times(job.tasks()));
+    if (!entry.gang.mayBegin() || team == null || !team.withinLimit(with)) {
+      return;
+    }
+    List<RoundRoom.Claim> own = room.takeClaims(entry);
+    MachineScore score = new MachineScore(context, imageFetch, balance, deadlines, entry);
+    if (gangPlacer.place(entry, score, allocRoom(entry))) {
+      usedByTeam.put(job.team(), with);
+    } else if (!own.isEmpty()) {
+      own.forEach(room::claim);
+    } else if (context.nowMs >= makeRoomNotBeforeMs) {
+      gangPlacer.makeRoom(entry, preemption);
+    }
+  }
+
+  private AllocRoom allocRoom(JobEntry entry) {
+    double plainKb = version.isCurrent() ? Double.POSITIVE_INFINITY : gate.valueKb();
+    return new AllocRoom(entry, plainKb, context.settings.alwaysStorableKb());
+  }
+
   /** Whether the image takes longer to come here than the job's class may wait. */
   private boolean late(Job job, MachineEntry m) {
     return imageFetch.waitS(job, m) > waitAimS(job);
--- a/src/main/java/eiderfork/core/Preemption.java
+++ b/src/main/java/eiderfork/core/Preemption.java
@@ -72,6 +72,9 @@
   private final Map<TaskProfile, Map<String, int[]>> firstOpen =
       new Reference2ObjectOpenHashMap<>();
 
+  /** What is to be stopped for the gang that room is being made for. */
+  private final List<Reservation> chosen = new ArrayList<>();
+
   private final Set<Hopeless> hopeless = new HashSet<>();
 
   /** Looks at a machine for this; past the bound on a search no more room is made in a round. */
@@ -141,6 +144,7 @@
       for (Reservation p : best.victims) {
         LOG.info("stopping {} on {} for {}", p.id(), best.machine.name, job.uid());
         p.stopping = true;
+        chosen.add(p);
         best.machine.urgent = true;
       }
       room.claim(
@@ -151,6 +155,26 @@
     return wanted;
   }
 
+  /**
+   * Makes room for every task of a gang, with what is free and with what can be freed, or for none:
+   * what would be stopped for a part of it alone goes on.
+   *
+   * @param perZone the zones to be tried, with no tasks in them yet
+   */
+  boolean makeRoomForAll(JobEntry entry, Map<String, Integer> perZone) {
+    int wanted = entry.job.tasks();
+    chosen.clear();
+    Set<Hopeless> provedBefore = Set.copyOf(hopeless);
+    if (makeRoom(entry, wanted, perZone, Double.MAX_VALUE) == wanted) {
+      return true;
+    }
+    chosen.forEach(victim -> victim.stopping = false);
+    room.takeClaims(entry);
+    // What was proved beside the tasks that found room does not hold without them.
+    hopeless.retainAll(provedBefore);
+    return false;
+  }
+
   private Hopeless hopeless(Job job, String zone) {
     return new Hopeless(
         job.need(),
--- a/src/main/java/eiderfork/core/Reply.java
+++ b/src/main/java/eiderfork/core/Reply.java
@@ -12,7 +12,17 @@
   record Unanswered() implements Reply {}
 
   /** The other side refused; nothing was done. */
-  record Refused(int status) implements Reply {}
+  record Refused(int status) implements Reply {
+    /** The request itself is at fault, or larger than the other side takes; repeats are as well. */
+    boolean isMalformed() {
+      return status == 400;
+    }
+
+    /** More was asked than the other side's limits allow. */
+    boolean isOverLimit() {
+      return status == 429;
+    }
+  }
 
   /** The transaction was applied as this revision. */
   record Committed(long revision) implements Reply {}
--- a/src/main/java/eiderfork/core/StateGate.java
+++ b/src/main/java/eiderfork/core/StateGate.java
@@ -1,14 +1,19 @@
 package eiderfork.core;
 
+import eiderfork.config.Settings;
 import java.util.ArrayDeque;
 import java.util.EnumMap;
 import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Queue;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The way to the state service: keeps its limits, the most urgent call first. */
 final class StateGate {
+  private static final Logger LOG = LoggerFactory.getLogger(StateGate.class);
+
   /** A slow answer takes a few hundred milliseconds; past this many steps it is lost. */
   private static final double TIMEOUT_STEPS = 1.5;
 
@@ -31,6 +36,11 @@
   /** How long the writes of each urgency waited for their turn since this was last told. */
   private final Map<Urgency, LongSummaryStatistics> waits = new EnumMap<>(Urgency.class);
 
+  /** Whether the service has been seen to hold to the lower limits that the settings announce. */
+  private boolean lowered;
+
+  private boolean leading;
+
   private final int[] queuedWrites = new int[Urgency.values().length];
   private long lastServedMs;
 
@@ -47,18 +57,25 @@
   }
 
   /** Takes the leader's share of the limits, or a follower's. */
-  void leading(boolean leading) {
+  void leading(boolean leads) {
+    leading = leads;
     int followers = Math.max(1, context.settings.peers().size());
-    double rps =
-        context.settings.stateLimits().rps()
-            * (leading ? LEADER_REQUESTS : (1 - LEADER_REQUESTS) / followers);
+    double rps = limits().rps() * (leading ? LEADER_REQUESTS : (1 - LEADER_REQUESTS) / followers);
     double writeRps =
-        context.settings.stateLimits().writeRps()
-            * (leading ? LEADER_WRITES : (1 - LEADER_WRITES) / followers);
+        limits().writeRps() * (leading ? LEADER_WRITES : (1 - LEADER_WRITES) / followers);
     requests.rate(rps, Math.max(1, rps));
     writes.rate(writeRps, Math.max(1, writeRps));
   }
 
+  private Settings.StateLimits limits() {
+    return lowered ? context.settings.nextStateLimits() : context.settings.stateLimits();
+  }
+
+  /** The largest value that the service is known to take now. */
+  double valueKb() {
+    return limits().valueKb();
+  }
+
   void send(StateOp op, Urgency urgency, Consumer<Reply> then) {
     int cost = op instanceof StateOp.Transact t ? t.changes().size() : 0;
     queues.get(urgency).add(new Waiting(op, cost, context.nowMs, then));
@@ -141,15 +158,15 @@
     context.ask(
         call -> new Effect.AskState(call, waiting.op, timeoutMs),
         reply -> {
-          note(reply);
+          note(waiting.op, reply);
           waiting.then.accept(reply);
         });
   }
 
-  private void note(Reply reply) {
-    boolean refused =
-        reply instanceof Reply.Refused it && (it.status() == 503 || it.status() == 429);
-    if (refused && ((Reply.Refused) reply).status() == 429) {
+  private void note(StateOp op, Reply reply) {
+    boolean refused = reply instanceof Reply.Refused it && (it.status() == 503 || it.isOverLimit());
+    noteLowered(op, reply);
+    if (refused && ((Reply.Refused) reply).isOverLimit()) {
       requests.drain(context.nowMs);
       writes.drain(context.nowMs);
     }
@@ -157,4 +174,23 @@
       lastServedMs = context.nowMs;
     }
   }
+
+  /**
+   * The limits change without notice. This node keeps to those of the settings, so a change that is
+   * refused for its size or rate tells that the lower ones are in force. A lease that has ended is
+   * refused in the same way, and tells nothing.
+   */
+  private void noteLowered(StateOp op, Reply reply) {
+    if (lowered
+        || !(op instanceof StateOp.Transact transact)
+        || !(reply instanceof Reply.Refused refused)) {
+      return;
+    }
+    boolean onLease = transact.changes().stream().anyMatch(change -> change.lease() != 0);
+    if (refused.isOverLimit() || refused.isMalformed() && !onLease) {
+      LOG.info("a change got {}: the limits to come are taken to be in force", refused.status());
+      lowered = true;
+      leading(leading);
+    }
+  }
 }
--- a/src/main/java/eiderfork/core/UserRequests.java
+++ b/src/main/java/eiderfork/core/UserRequests.java
@@ -33,6 +33,9 @@
   /** When to ask again for a job of which a record can't be read: an operator has to act first. */
   private static final int RECORD_RETRY_S = 30;
 
+  /** When to come back with a job that waits for the last node to be upgraded. */
+  private static final int VERSION_RETRY_S = 2;
+
   private final Context context;
   private final Term term;
   private final StateGate gate;
@@ -41,6 +44,7 @@
   private final Planner planner;
   private final ReadBarrier readBarrier;
   private final Cancellations cancellations;
+  private final ClusterVersion version;
   private final Runnable kick;
 
   /** Submissions whose write is under way, with those that wait for its end. */
@@ -60,6 +64,7 @@
       Planner planner,
       ReadBarrier readBarrier,
       Cancellations cancellations,
+      ClusterVersion version,
       Runnable kick) {
     this.context = context;
     this.term = term;
@@ -69,6 +74,7 @@
     this.planner = planner;
     this.readBarrier = readBarrier;
     this.cancellations = cancellations;
+    this.version = version;
     this.kick = kick;
     forwards = new Forwards(context);
   }
@@ -120,7 +126,7 @@
           asker.accept(it);
         };
     String leader = term.leader();
-    if (fromMemory() || !passOn || !isPeer(leader)) {
+    if (fromMemory() || !passOn || !isPeer(leader) || waitsForVersion(request)) {
       here(request, answer);
     } else if (request instanceof Input.Query query) {
       forwards.add(query.uid(), answer, () -> here(request, answer));
@@ -137,6 +143,15 @@
     }
   }
 
+  /** Whether an older leader might take what only the current version carries out by the rules. */
+  private boolean waitsForVersion(Input request) {
+    return request instanceof Input.Submit it && waitsForVersion(it.job());
+  }
+
+  private boolean waitsForVersion(Job job) {
+    return job.kind() == JobKind.GANG && !version.isCurrent();
+  }
+
   private boolean isPeer(String node) {
     return node != null && context.settings.peers().containsKey(node);
   }
@@ -219,6 +234,22 @@
   }
 
   private void submitNew(Job job, Consumer<UserAnswer> answer) {
+    if (waitsForVersion(job)) {
+      version.load(() -> submitIfCurrent(job, answer));
+    } else {
+      submitAllowed(job, answer);
+    }
+  }
+
+  private void submitIfCurrent(Job job, Consumer<UserAnswer> answer) {
+    if (waitsForVersion(job)) {
+      answer.accept(UserAnswer.later(VERSION_RETRY_S, "not every node runs the new version yet"));
+    } else {
+      submitAllowed(job, answer);
+    }
+  }
+
+  private void submitAllowed(Job job, Consumer<UserAnswer> answer) {
     if (types().isEmpty()) {
       answer.accept(UserAnswer.later(2, "the machine types are not known yet"));
       return;
@@ -280,20 +311,30 @@
       waiting.get(0).accept(UserAnswer.created(status));
       waiting.stream().skip(1).forEach(each -> each.accept(UserAnswer.ok(status)));
     } else if (reply instanceof Reply.Conflict) {
-      stored(
-          job.uid(),
-          Urgency.SUBMIT,
-          status -> {
-            UserAnswer said =
-                status == null || status.isEmpty() ? unavailable() : UserAnswer.ok(status.get());
-            waiting.forEach(each -> each.accept(said));
-          });
+      answerAsStored(job.uid(), unavailable(), waiting);
+    } else if (reply instanceof Reply.Refused refused && refused.isMalformed()) {
+      // A peer may have stored it before the service's limits fell.
+      UserAnswer never = UserAnswer.refused(400, "larger than what can be stored");
+      answerAsStored(job.uid(), never, waiting);
     } else {
       // It may be written yet; the user's own repeat finds out.
       waiting.forEach(each -> each.accept(unavailable()));
     }
   }
 
+  /** Answers with the job as it is stored, or with {@code otherwise} where it is not. */
+  private void answerAsStored(
+      String uid, UserAnswer otherwise, List<Consumer<UserAnswer>> waiting) {
+    stored(
+        uid,
+        Urgency.SUBMIT,
+        status -> {
+          UserAnswer said =
+              status == null ? unavailable() : status.map(UserAnswer::ok).orElse(otherwise);
+          waiting.forEach(each -> each.accept(said));
+        });
+  }
+
   /** Why a job can never run, or null. */
   private String impossible(Job job) {
     Team team = context.settings.teams().get(job.team());
--- a/src/main/java/eiderfork/core/WorkerControl.java
+++ b/src/main/java/eiderfork/core/WorkerControl.java
@@ -179,10 +179,22 @@
           noteImage(m, p);
         }
         p.seen = task.state();
+        if (p.job.gang != null) {
+          reconcileGang(m, p);
+        }
       }
     }
   }
 
+  private static void reconcileGang(MachineEntry m, Reservation p) {
+    if (p.seen == TaskReport.State.SAVING && p.wanted()) {
+      // An older leader has begun to stop the gang; tasks that are not told in time lose the save.
+      p.job.gang.save();
+    } else if (m.report.noticeS() != null && p.seen == TaskReport.State.RUNNING && p.wanted()) {
+      p.job.gang.machineNoticed(m.report.noticeS());
+    }
+  }
+
   private void absent(MachineEntry m, Reservation p) {
     if (!p.committed) {
       return;
@@ -269,8 +281,7 @@
       } else if (!ours) {
         list.add(new Command.Kill(attempt, 0));
       } else if (!p.wanted()) {
-        // Nobody wants what a cancelled task saves; a moved one may save once.
-        list.add(new Command.Kill(attempt, job.aborted ? 0 : job.job.saveS()));
+        list.add(new Command.Kill(attempt, job.stopGraceS()));
       }
     }
     boolean clears = list.build().stream().anyMatch(Command.Clear.class::isInstance);
--- a/src/main/java/eiderfork/model/AllocSize.java
+++ b/src/main/java/eiderfork/model/AllocSize.java
@@ -3,12 +3,8 @@
 import java.util.HashSet;
 import java.util.Set;
 
-/**
- * An upper bound, in bytes, of what an {@link Record.Alloc} takes when it is written, now and
- * however its tasks end, so that a reservation is only made where every later record fits into a
- * value.
- */
-public final class AllocSize {
+/** The bound on the plain form of an {@link Record.Alloc}, which every version reads. */
+public final class AllocSize implements RecordSize {
   /** Braces, field names, the last attempt and the mark of a job that is done. */
   private static final int FRAME = 96;
 
@@ -39,7 +35,7 @@
     this.finishedRanges = finishedRanges;
   }
 
-  /** Counts one more reservation. */
+  @Override
   public void add(long attempt, String machine) {
     reserved++;
     if (attempts.add(attempt)) {
@@ -50,7 +46,7 @@
     }
   }
 
-  /** Whether one more reservation leaves the record within a value, wherever it is. */
+  @Override
   public boolean fits(long attempt, String machine, double valueKb) {
     int more = digits(attempt) + machine.length() + 2 * AROUND;
     return bytes(reserved + 1, placeBytes + more) <= valueKb * 1024 * VALUE_SHARE;
--- /dev/null
+++ b/src/main/java/eiderfork/model/NumberedName.java
@@ -0,0 +1,49 @@
+package eiderfork.model;
+
+/**
+ * A name taken apart into a prefix and the number that it ends with: names that are counted up
+ * differ little, and are stored in little space.
+ *
+ * @param series the prefix, and how many digits the number has
+ * @param number the number; 0 where the name does not end with one
+ */
+public record NumberedName(Series series, long number) {
+  /** Characters take at most this many bytes in UTF-8. */
+  static final int MOST_BYTES_PER_CHARACTER = 3;
+
+  /** Digits that surely fit into a long. */
+  private static final int MOST_DIGITS = 17;
+
+  /** Names of one prefix and one number of digits. */
+  public record Series(String prefix, int digits) {
+    /** A number that all numbers of the series are below. */
+    long bound() {
+      long bound = 1;
+      for (int i = 0; i < digits; i++) {
+        bound *= 10;
+      }
+      return bound;
+    }
+  }
+
+  /** Takes a name apart. */
+  public static NumberedName of(String name) {
+    int start = name.length();
+    while (start > 0 && name.length() - start < MOST_DIGITS && isDigit(name.charAt(start - 1))) {
+      start--;
+    }
+    int digits = name.length() - start;
+    long number = digits == 0 ? 0 : Long.parseLong(name.substring(start));
+    return new NumberedName(new Series(name.substring(0, start), digits), number);
+  }
+
+  private static boolean isDigit(char c) {
+    return c >= '0' && c <= '9';
+  }
+
+  /** The name that was taken apart. */
+  public String text() {
+    String digits = series.digits() == 0 ? "" : Long.toString(number);
+    return series.prefix() + "0".repeat(series.digits() - digits.length()) + digits;
+  }
+}
--- a/src/main/java/eiderfork/model/Record.java
+++ b/src/main/java/eiderfork/model/Record.java
@@ -38,6 +38,12 @@
     public static final Alloc EMPTY = new Alloc(0, false, ImmutableList.of(), ImmutableList.of());
   }
 
+  /**
+   * The same record in a form that takes a fraction of the space. Versions before the second can't
+   * read it; it is read back as the record that it holds.
+   */
+  record PackedAlloc(Alloc alloc) implements Record {}
+
   /** A rent reserved before the cloud is asked, under the name that the request carries. */
   record Rent(String requestName, String type, String zone, boolean spot, int count)
       implements Record {}
@@ -48,6 +54,9 @@
   /** Machines whose workers a node answers in the place of a leader that they can't reach. */
   record ProxiedLeases(ImmutableList<String> machines) implements Record {}
 
+  /** The newest version that every member of the cluster runs. */
+  record StoredVersion(int version) implements Record {}
+
   /** The machine types, kept for nodes that must judge a submission without the cloud. */
   record Types(ImmutableList<MachineType> types) implements Record {}
 }
--- /dev/null
+++ b/src/main/java/eiderfork/model/RecordSize.java
@@ -0,0 +1,13 @@
+package eiderfork.model;
+
+/**
+ * An upper bound of what one form of an {@link Record.Alloc} takes, now and however its tasks end,
+ * so that a reservation is only made where every later record fits into a value.
+ */
+public interface RecordSize {
+  /** Counts one more reservation. */
+  void add(long attempt, String machine);
+
+  /** Whether one more reservation leaves the record within a value of this size. */
+  boolean fits(long attempt, String machine, double valueKb);
+}
--- a/src/main/java/eiderfork/model/TaskReport.java
+++ b/src/main/java/eiderfork/model/TaskReport.java
@@ -9,6 +9,8 @@
     GATHERING,
     RUNNING,
     SAVING,
+    /** On the machine, in a state that this version does not know. */
+    OTHER,
     ENDED
   }
 
--- /dev/null
+++ b/src/main/java/eiderfork/wire/AvroBytes.java
@@ -0,0 +1,49 @@
+package eiderfork.wire;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import org.apache.avro.Schema;
+import org.apache.avro.generic.GenericDatumReader;
+import org.apache.avro.generic.GenericDatumWriter;
+import org.apache.avro.generic.GenericRecord;
+import org.apache.avro.io.DecoderFactory;
+import org.apache.avro.io.EncoderFactory;
+
+/** Avro records as bytes, by the schemas beside this class. */
+final class AvroBytes {
+  private AvroBytes() {}
+
+  /** Loads a schema from the resource of this name. */
+  static Schema schema(String resource) {
+    try (InputStream in = AvroBytes.class.getResourceAsStream(resource)) {
+      return new Schema.Parser().parse(in);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  static byte[] write(GenericRecord record) {
+    try {
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      var encoder = EncoderFactory.get().directBinaryEncoder(out, null);
+      new GenericDatumWriter<GenericRecord>(record.getSchema()).write(record, encoder);
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Reads what was written by one schema as a record of another, usually the same. */
+  static GenericRecord read(Schema writer, Schema schema, byte[] bytes) throws BadMessage {
+    try {
+      var decoder = DecoderFactory.get().binaryDecoder(bytes, null);
+      return new GenericDatumReader<GenericRecord>(writer, schema).read(null, decoder);
+    } catch (IOException | RuntimeException e) {
+      // The decoder trusts lengths that it reads, and fails in many ways on bytes of something
+      // else.
+      throw new BadMessage("not an Avro record of the form " + schema.getName());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/wire/PackedAllocs.java
@@ -0,0 +1,191 @@
+package eiderfork.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import eiderfork.model.Job;
+import eiderfork.model.NumberedName;
+import eiderfork.model.Record;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.List;
+import org.apache.avro.Schema;
+import org.apache.avro.generic.GenericData;
+import org.apache.avro.generic.GenericRecord;
+
+/**
+ * The packed form of an alloc record: an Avro record of columns as Base64, which {@code
+ * PackedAllocSize} bounds. Machines that were rented one after the other and tasks in a row take
+ * about five bytes each.
+ */
+final class PackedAllocs {
+  /** The field that tells this form from the others. */
+  static final String FIELD = "packed";
+
+  private static final Schema SCHEMA = AvroBytes.schema("alloc.avsc");
+  private static final Schema SERIES = SCHEMA.getField("series").schema().getElementType();
+
+  private PackedAllocs() {}
+
+  static ObjectNode node(Record.Alloc alloc) {
+    byte[] bytes = AvroBytes.write(columns(alloc));
+    return Json.object().put(FIELD, Base64.getEncoder().withoutPadding().encodeToString(bytes));
+  }
+
+  private static GenericRecord columns(Record.Alloc alloc) {
+    List<NumberedName.Series> series = new ArrayList<>();
+    List<Integer> gaps = new ArrayList<>();
+    List<Integer> lengths = new ArrayList<>();
+    List<Long> attempts = new ArrayList<>();
+    List<Integer> seriesIndexes = new ArrayList<>();
+    List<Long> numbers = new ArrayList<>();
+    int next = 0;
+    long lastNumber = 0;
+    for (Record.Span span : alloc.reserved()) {
+      NumberedName name = NumberedName.of(span.machine());
+      if (!series.contains(name.series())) {
+        series.add(name.series());
+      }
+      gaps.add(span.from() - next);
+      lengths.add(span.to() - span.from());
+      attempts.add(alloc.lastAttempt() - span.attempt());
+      seriesIndexes.add(series.indexOf(name.series()));
+      numbers.add(name.number() - lastNumber);
+      next = span.to() + 1;
+      lastNumber = name.number();
+    }
+    GenericRecord record = new GenericData.Record(SCHEMA);
+    record.put("last", alloc.lastAttempt());
+    record.put("done", alloc.done());
+    record.put("series", series.stream().map(PackedAllocs::seriesRecord).toList());
+    record.put("gap", gaps);
+    record.put("length", lengths);
+    record.put("attempt", attempts);
+    record.put("seriesIndex", seriesIndexes);
+    record.put("number", numbers);
+    putFinished(record, alloc.finished());
+    return record;
+  }
+
+  private static GenericRecord seriesRecord(NumberedName.Series series) {
+    GenericRecord record = new GenericData.Record(SERIES);
+    record.put("prefix", series.prefix());
+    record.put("digits", series.digits());
+    return record;
+  }
+
+  private static void putFinished(GenericRecord record, List<Record.Range> finished) {
+    List<Integer> runs = new ArrayList<>();
+    BitSet bits = new BitSet();
+    int next = 0;
+    for (Record.Range range : finished) {
+      runs.add(range.from() - next);
+      runs.add(range.to() - range.from());
+      bits.set(range.from(), range.to() + 1);
+      next = range.to() + 1;
+    }
+    byte[] bitmap = bits.toByteArray();
+    boolean runsAreShorter = bytesOf(runs) <= bitmap.length;
+    record.put("finished", runsAreShorter ? runs : List.of());
+    record.put("finishedBits", ByteBuffer.wrap(runsAreShorter ? new byte[0] : bitmap));
+  }
+
+  private static int bytesOf(List<Integer> runs) {
+    GenericRecord probe = new GenericData.Record(FINISHED_ONLY);
+    probe.put("finished", runs);
+    return AvroBytes.write(probe).length;
+  }
+
+  private static final Schema FINISHED_ONLY =
+      Schema.createRecord(
+          "Finished",
+          null,
+          SCHEMA.getNamespace(),
+          false,
+          List.of(new Schema.Field("finished", SCHEMA.getField("finished").schema())));
+
+  /** Reads the packed form. */
+  static Record.Alloc alloc(JsonNode node) throws BadMessage {
+    byte[] bytes;
+    try {
+      bytes = Base64.getDecoder().decode(Json.text(node, FIELD));
+    } catch (IllegalArgumentException e) {
+      throw new BadMessage("field " + FIELD + " is not Base64");
+    }
+    GenericRecord record = AvroBytes.read(SCHEMA, SCHEMA, bytes);
+    long last = (Long) record.get("last");
+    return new Record.Alloc(
+        last, (Boolean) record.get("done"), reserved(record, last), finished(record));
+  }
+
+  private static ImmutableList<Record.Span> reserved(GenericRecord record, long last)
+      throws BadMessage {
+    List<?> series = (List<?>) record.get("series");
+    List<?> gaps = (List<?>) record.get("gap");
+    List<?> lengths = column(record, "length", gaps.size());
+    List<?> attempts = column(record, "attempt", gaps.size());
+    List<?> seriesIndexes = column(record, "seriesIndex", gaps.size());
+    List<?> numbers = column(record, "number", gaps.size());
+    ImmutableList.Builder<Record.Span> spans = ImmutableList.builder();
+    int next = 0;
+    long number = 0;
+    for (int i = 0; i < gaps.size(); i++) {
+      Record.Range run = run(next, (Integer) gaps.get(i), (Integer) lengths.get(i));
+      int seriesIndex = (Integer) seriesIndexes.get(i);
+      if (seriesIndex < 0 || seriesIndex >= series.size()) {
+        throw new BadMessage("series " + seriesIndex + " is not listed");
+      }
+      number += (Long) numbers.get(i);
+      String machine = machine((GenericRecord) series.get(seriesIndex), number);
+      spans.add(new Record.Span(run.from(), run.to(), last - (Long) attempts.get(i), machine));
+      next = run.to() + 1;
+    }
+    return spans.build();
+  }
+
+  private static List<?> column(GenericRecord record, String name, int size) throws BadMessage {
+    List<?> column = (List<?>) record.get(name);
+    if (column.size() != size) {
+      throw new BadMessage("column " + name + " has not one entry for each run");
+    }
+    return column;
+  }
+
+  private static Record.Range run(int next, int gap, int length) throws BadMessage {
+    long to = (long) next + gap + length;
+    if (gap < 0 || length < 0 || to >= Job.MOST_TASKS) {
+      throw new BadMessage("tasks are no run");
+    }
+    return new Record.Range(next + gap, (int) to);
+  }
+
+  private static String machine(GenericRecord series, long number) throws BadMessage {
+    int digits = (Integer) series.get("digits");
+    NumberedName name =
+        new NumberedName(new NumberedName.Series(series.get("prefix").toString(), digits), number);
+    if (digits < 0 || number < 0 || digits > 0 && Long.toString(number).length() > digits) {
+      throw new BadMessage("a machine's name can't be read");
+    }
+    return name.text();
+  }
+
+  private static ImmutableList<Record.Range> finished(GenericRecord record) throws BadMessage {
+    ImmutableList.Builder<Record.Range> ranges = ImmutableList.builder();
+    List<?> runs = (List<?>) record.get("finished");
+    int next = 0;
+    for (int i = 0; i + 1 < runs.size(); i += 2) {
+      Record.Range run = run(next, (Integer) runs.get(i), (Integer) runs.get(i + 1));
+      ranges.add(run);
+      next = run.to() + 1;
+    }
+    BitSet bits = BitSet.valueOf((ByteBuffer) record.get("finishedBits"));
+    for (int from = bits.nextSetBit(0); from >= 0; ) {
+      int end = bits.nextClearBit(from);
+      ranges.add(new Record.Range(from, end - 1));
+      from = bits.nextSetBit(end);
+    }
+    return ranges.build();
+  }
+}
--- a/src/main/java/eiderfork/wire/PeerWire.java
+++ b/src/main/java/eiderfork/wire/PeerWire.java
@@ -7,19 +7,11 @@
 import eiderfork.core.Reply;
 import eiderfork.core.UserAnswer;
 import eiderfork.model.JobStatus;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.util.List;
 import org.apache.avro.Schema;
 import org.apache.avro.generic.GenericData;
-import org.apache.avro.generic.GenericDatumReader;
-import org.apache.avro.generic.GenericDatumWriter;
 import org.apache.avro.generic.GenericRecord;
-import org.apache.avro.io.DecoderFactory;
-import org.apache.avro.io.EncoderFactory;
 
 /** What the nodes exchange with each other, in Avro. */
 public final class PeerWire {
@@ -33,9 +25,12 @@
   public static final String QUERIES = "/peer/queries";
 
   private static final String SCHEMAS = "peer.avpr.json";
-  private static final Schema UNION = load();
+  private static final Schema UNION = AvroBytes.schema(SCHEMAS);
   private static final Schema VIEW = UNION.getTypes().get(0);
-  private static final Schema FIRST_VIEW = firstForm(VIEW);
+
+  /** The forms that a view has had, the newest first: each version added a field at the end. */
+  private static final ImmutableList<Schema> VIEW_FORMS = forms(VIEW);
+
   private static final Schema NEWS = VIEW.getField("news").schema().getTypes().get(1);
   private static final Schema ASKED = UNION.getTypes().get(1);
   private static final Schema ANSWER = UNION.getTypes().get(2);
@@ -44,19 +39,22 @@
 
   private PeerWire() {}
 
-  private static Schema load() {
-    try (InputStream in = PeerWire.class.getResourceAsStream(SCHEMAS)) {
-      return new Schema.Parser().parse(in);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
+  /** A record's schema, and what it was before each field that came later and has a default. */
+  private static ImmutableList<Schema> forms(Schema schema) {
+    ImmutableList.Builder<Schema> forms = ImmutableList.builder();
+    int fields = schema.getFields().size();
+    forms.add(schema);
+    while (schema.getFields().get(fields - 1).hasDefaultValue()) {
+      fields--;
+      forms.add(firstFields(schema, fields));
     }
+    return forms.build();
   }
 
-  /** The fields that a record had at first: those that came later have a default. */
-  private static Schema firstForm(Schema schema) {
+  private static Schema firstFields(Schema schema, int count) {
     List<Schema.Field> fields =
         schema.getFields().stream()
-            .filter(field -> !field.hasDefaultValue())
+            .limit(count)
             .map(field -> new Schema.Field(field.name(), field.schema()))
             .toList();
     return Schema.createRecord(
@@ -72,7 +70,8 @@
     record.put("stateAgeMs", view.stateAgeMs());
     record.put("machinesHeard", view.machinesHeard());
     record.put("news", news(view.news()));
-    return bytes(record);
+    record.put("version", view.version());
+    return AvroBytes.write(record);
   }
 
   private static GenericRecord news(CancellationNews news) {
@@ -118,6 +117,7 @@
         (Boolean) record.get("leading"),
         (Long) record.get("stateAgeMs"),
         (Integer) record.get("machinesHeard"),
+        (Integer) record.get("version"),
         news(record.get("news")));
   }
 
@@ -132,7 +132,7 @@
     } else if (request instanceof Input.Abort it) {
       put(record, "ABORT", it.uid());
     }
-    return bytes(record);
+    return AvroBytes.write(record);
   }
 
   private static void put(GenericRecord record, String kind, String uid) {
@@ -167,7 +167,7 @@
   public static byte[] queries(List<String> uids) {
     GenericRecord record = new GenericData.Record(QUESTIONS);
     record.put("uids", uids);
-    return bytes(record);
+    return AvroBytes.write(record);
   }
 
   /**
@@ -183,7 +183,7 @@
   public static byte[] answers(List<UserAnswer> answers) {
     GenericRecord record = new GenericData.Record(ANSWERS);
     record.put("answers", answers.stream().map(PeerWire::toRecord).toList());
-    return bytes(record);
+    return AvroBytes.write(record);
   }
 
   /**
@@ -201,7 +201,7 @@
 
   /** Writes the answer to a request that was passed on. */
   public static byte[] answer(UserAnswer answer) {
-    return bytes(toRecord(answer));
+    return AvroBytes.write(toRecord(answer));
   }
 
   private static GenericRecord toRecord(UserAnswer answer) {
@@ -248,38 +248,20 @@
         error == null ? null : error.toString());
   }
 
-  private static byte[] bytes(GenericRecord record) {
-    try {
-      ByteArrayOutputStream out = new ByteArrayOutputStream();
-      var encoder = EncoderFactory.get().directBinaryEncoder(out, null);
-      new GenericDatumWriter<GenericRecord>(record.getSchema()).write(record, encoder);
-      return out.toByteArray();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
-  /** A peer of an earlier version ends after the fields that there were at first. */
+  /** A peer of an earlier version ends after the fields that there were then. */
   private static GenericRecord readView(byte[] bytes) throws BadMessage {
-    try {
-      return read(VIEW, VIEW, bytes);
-    } catch (BadMessage e) {
-      return read(FIRST_VIEW, VIEW, bytes);
+    BadMessage newest = null;
+    for (Schema form : VIEW_FORMS) {
+      try {
+        return AvroBytes.read(form, VIEW, bytes);
+      } catch (BadMessage e) {
+        newest = newest == null ? e : newest;
+      }
     }
+    throw newest;
   }
 
   private static GenericRecord read(Schema schema, byte[] bytes) throws BadMessage {
-    return read(schema, schema, bytes);
-  }
-
-  private static GenericRecord read(Schema writer, Schema schema, byte[] bytes) throws BadMessage {
-    try {
-      var decoder = DecoderFactory.get().binaryDecoder(bytes, null);
-      return new GenericDatumReader<GenericRecord>(writer, schema).read(null, decoder);
-    } catch (IOException | RuntimeException e) {
-      // The decoder trusts lengths that it reads, and fails in many ways on bytes of something
-      // else.
-      throw new BadMessage("not a peer's message");
-    }
+    return AvroBytes.read(schema, schema, bytes);
   }
 }
--- a/src/main/java/eiderfork/wire/Records.java
+++ b/src/main/java/eiderfork/wire/Records.java
@@ -33,6 +33,8 @@
       node.put("uid", it.uid());
     } else if (record instanceof Record.Alloc it) {
       return node(it);
+    } else if (record instanceof Record.PackedAlloc it) {
+      return PackedAllocs.node(it.alloc());
     } else if (record instanceof Record.Rent it) {
       node.put("charter", it.requestName());
       node.put("type", it.type());
@@ -43,6 +45,8 @@
       it.machines().forEach(node.putArray("machines")::add);
     } else if (record instanceof Record.ProxiedLeases it) {
       it.machines().forEach(node.putArray("machines")::add);
+    } else if (record instanceof Record.StoredVersion it) {
+      node.put("version", it.version());
     } else if (record instanceof Record.Types it) {
       node.set("types", CloudWire.nodes(it.types()));
     }
@@ -151,6 +155,8 @@
       return new Record.Return(CloudWire.texts(Json.array(node, "machines")));
     } else if (key.startsWith(Keys.LEASE_PROXY)) {
       return new Record.ProxiedLeases(CloudWire.texts(Json.array(node, "machines")));
+    } else if (key.equals(Keys.VERSION)) {
+      return new Record.StoredVersion((int) Json.integer(node, "version"));
     } else if (key.equals(Keys.TYPES)) {
       return new Record.Types(CloudWire.types(Json.array(node, "types")));
     }
@@ -158,6 +164,9 @@
   }
 
   private static Record.Alloc alloc(JsonNode node) throws BadMessage {
+    if (node.has(PackedAllocs.FIELD)) {
+      return PackedAllocs.alloc(node);
+    }
     List<Record.Span> spans = new ArrayList<>();
     ImmutableList.Builder<Record.Range> finished = ImmutableList.builder();
     if (node.has("on")) {
--- a/src/main/java/eiderfork/wire/WorkerWire.java
+++ b/src/main/java/eiderfork/wire/WorkerWire.java
@@ -11,9 +11,13 @@
 import eiderfork.model.TaskId;
 import eiderfork.model.TaskReport;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** What workers send and are sent. */
 public final class WorkerWire {
+  private static final Logger LOG = LoggerFactory.getLogger(WorkerWire.class);
+
   /** Where workers report. */
   public static final String REPORT = "/v1/report";
 
@@ -57,16 +61,33 @@
     if (id == null) {
       throw new BadMessage("field Hatchling names no task");
     }
-    TaskReport.State state = Json.oneOf(node, "Stance", Names.TASK_STATE::get);
-    // A cause this version does not know still ends the task; it is tried again elsewhere.
+    TaskReport.State state = state(id, Json.text(node, "Stance"));
     TaskReport.Cause cause =
-        state == TaskReport.State.ENDED
-            ? Names.CAUSE.getOrDefault(Json.text(node, "Cause"), TaskReport.Cause.STOPPED)
-            : null;
+        state == TaskReport.State.ENDED ? cause(id, Json.text(node, "Cause")) : null;
     boolean saved = node.hasNonNull("Kept") && Json.flag(node, "Kept");
     return new TaskReport(new Attempt(id, Json.integer(node, "Try")), state, cause, saved);
   }
 
+  /** A task in a state that this version does not know is on its machine all the same. */
+  private static TaskReport.State state(TaskId id, String name) {
+    TaskReport.State state = Names.TASK_STATE.get(name);
+    if (state == null) {
+      LOG.warn("{} is in a state that is not known: {}", id, name);
+      return TaskReport.State.OTHER;
+    }
+    return state;
+  }
+
+  /** A cause that this version does not know still ends the task; it is tried again elsewhere. */
+  private static TaskReport.Cause cause(TaskId id, String name) {
+    TaskReport.Cause cause = Names.CAUSE.get(name);
+    if (cause == null) {
+      LOG.warn("{} has ended for a reason that is not known: {}", id, name);
+      return TaskReport.Cause.STOPPED;
+    }
+    return cause;
+  }
+
   /** The body of an answer to a report. */
   public static byte[] answer(long token, List<Command> commands) {
     ObjectNode node = Json.object();
--- a/src/test/java/eiderfork/config/SettingsTest.java
+++ b/src/test/java/eiderfork/config/SettingsTest.java
@@ -95,6 +95,39 @@
     assertTrue(complaint(GOOD.replace(good, bad)).startsWith("s.toml: " + field + ": "));
   }
 
+  private static final String NEXT =
+      """
+      [deployment.state.next]
+      write_rps = 15.0
+      value_kb = 2.0
+      txn_ops = 5
+      """;
+
+  @Test
+  void readsTheLimitsThatAreToCome() throws BadSettings {
+    Settings settings = SettingsFile.parse("s.toml", GOOD + NEXT, OperatorSettings.DEFAULTS);
+    assertEquals(new Settings.StateLimits(150, 20, 8), settings.stateLimits());
+    assertEquals(new Settings.StateLimits(150, 15, 2), settings.nextStateLimits());
+    assertEquals(2.0, settings.alwaysStorableKb());
+    Settings without = SettingsFile.parse("s.toml", GOOD, OperatorSettings.DEFAULTS);
+    assertEquals(without.stateLimits(), without.nextStateLimits(), "they stay");
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "value_kb = 2.0,value_kb = 0.25,deployment.state.next.value_kb",
+    "value_kb = 2.0,value_kb = \"2\",deployment.state.next.value_kb",
+    "txn_ops = 5,txn_ops = 1,deployment.state.next.txn_ops",
+    "write_rps = 15.0,write_rps = 0.0,deployment.state.next.write_rps"
+  })
+  void refusesLimitsToComeThatCannotWork(String good, String bad, String field) {
+    assertTrue(NEXT.contains(good));
+    assertTrue(complaint(GOOD + NEXT.replace(good, bad)).startsWith("s.toml: " + field + ": "));
+    assertTrue(
+        complaint(GOOD.replace("txn_ops = 16", "txn_ops = 16\nnext = 3"))
+            .startsWith("s.toml: deployment.state.next: "));
+  }
+
   @Test
   void readsTheUsersAims() throws BadSettings {
     String aims =
--- /dev/null
+++ b/src/test/java/eiderfork/core/FakeGangs.java
@@ -0,0 +1,208 @@
+package eiderfork.core;
+
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.TaskId;
+import eiderfork.model.TaskReport.Cause;
+import eiderfork.model.TaskReport.State;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * How the tasks of a gang find each other, run, save and end together, written from the protocol. A
+ * gang is one attempt number of a job, whatever machines its tasks are on.
+ */
+final class FakeGangs {
+  static final long WAIT_MS = 40_000;
+  static final long PEER_MS = 8_000;
+
+  private record Key(String uid, long attempt) {}
+
+  private record Member(FakeWorker worker, FakeWorker.Task task) {
+    int index() {
+      return task.attempt.task().index();
+    }
+  }
+
+  private static final class Attempt {
+    final Map<Integer, Member> members = new HashMap<>();
+    final Map<Integer, Long> gatheredMs = new HashMap<>();
+    boolean running;
+    long startedMs;
+
+    /** When a member was found gone; 0 while all are there. */
+    long brokenMs;
+
+    /** When the first member was told to save, and which have been told; 0 for none. */
+    long savingMs;
+
+    final Map<Integer, Long> savingSinceMs = new HashMap<>();
+  }
+
+  private final World world;
+  private final Map<Key, Attempt> attempts = new HashMap<>();
+
+  /** How much of each gang's work is safe in a checkpoint. */
+  final Map<String, Long> safeMs = new HashMap<>();
+
+  /** How often gangs started, whole. */
+  int starts;
+
+  /** How often a gang was seen to save its progress when it was stopped. */
+  int saves;
+
+  FakeGangs(World world) {
+    this.world = world;
+  }
+
+  private static Key key(FakeWorker.Task task) {
+    return new Key(task.attempt.task().job(), task.attempt.number());
+  }
+
+  /** A task is told to stop; whether it saves first. */
+  boolean saves(FakeWorker worker, FakeWorker.Task task, double graceS) {
+    Job job = world.job(task.attempt.task().job());
+    Attempt attempt = attempts.get(key(task));
+    boolean able =
+        job.kind() == JobKind.GANG
+            && attempt != null
+            && attempt.running
+            && attempt.brokenMs == 0
+            && job.checkpointS() > 0
+            && graceS > 0
+            && graceS >= job.saveS();
+    if (!able || task.state == State.SAVING && graceS <= 0) {
+      return false;
+    }
+    if (task.state == State.RUNNING) {
+      task.state = State.SAVING;
+      worker.changed = true;
+      attempt.savingMs = attempt.savingMs == 0 ? world.nowMs : attempt.savingMs;
+      attempt.savingSinceMs.put(task.attempt.task().index(), world.nowMs);
+    }
+    return true;
+  }
+
+  void tick() {
+    Map<Key, Attempt> present = new HashMap<>();
+    for (FakeWorker worker : world.workers()) {
+      if (worker.dead) {
+        continue;
+      }
+      for (FakeWorker.Task task : worker.tasks()) {
+        Job job = world.job(task.attempt.task().job());
+        if (job.kind() == JobKind.GANG
+            && task.state != State.ENDED
+            && task.state != State.FETCHING) {
+          Attempt attempt = attempts.computeIfAbsent(key(task), k -> new Attempt());
+          present.computeIfAbsent(key(task), k -> attempt);
+          Member member = new Member(worker, task);
+          attempt.members.put(member.index(), member);
+          attempt.gatheredMs.putIfAbsent(member.index(), world.nowMs);
+        }
+      }
+    }
+    new ArrayList<>(attempts.keySet()).forEach(this::advance);
+  }
+
+  private boolean isThere(Member member) {
+    return !member.worker.dead
+        && member.task.state != State.ENDED
+        && member.worker.tasks().contains(member.task);
+  }
+
+  private void advance(Key key) {
+    Attempt attempt = attempts.get(key);
+    Job job = world.job(key.uid);
+    attempt.members.values().removeIf(member -> !attempt.running && !isThere(member));
+    attempt.gatheredMs.keySet().retainAll(attempt.members.keySet());
+    List<Member> there = attempt.members.values().stream().filter(this::isThere).toList();
+    if (there.isEmpty()) {
+      attempts.remove(key);
+    } else if (!attempt.running) {
+      gather(attempt, job);
+    } else if (attempt.savingMs > 0) {
+      save(attempt, job, there);
+    } else {
+      run(attempt, job, there);
+    }
+  }
+
+  private void gather(Attempt attempt, Job job) {
+    boolean hangs = attempt.members.values().stream().anyMatch(m -> m.worker.hanging);
+    if (attempt.members.size() == job.tasks() && !hangs) {
+      attempt.running = true;
+      attempt.startedMs = world.nowMs;
+      starts++;
+      for (Member member : attempt.members.values()) {
+        member.task.state = State.RUNNING;
+        member.worker.changed = true;
+      }
+      return;
+    }
+    for (Member member : List.copyOf(attempt.members.values())) {
+      long waitedMs = world.nowMs - attempt.gatheredMs.get(member.index());
+      if (waitedMs > WAIT_MS && !member.worker.hanging) {
+        member.worker.end(member.task, Cause.INCOMPLETE);
+      }
+    }
+  }
+
+  private void run(Attempt attempt, Job job, List<Member> there) {
+    boolean whole = there.size() == job.tasks() && there.stream().noneMatch(m -> m.worker.hanging);
+    long beganMs = safeMs.getOrDefault(job.uid(), 0L);
+    long progressMs = beganMs + world.nowMs - attempt.startedMs;
+    if (!whole) {
+      fail(attempt, job, there, progressMs);
+    } else if (progressMs >= job.estimateS() * 1000) {
+      for (Member member : there) {
+        TaskId id = member.task.attempt.task();
+        world.completed(id);
+        member.worker.end(member.task, Cause.DONE);
+      }
+    }
+  }
+
+  /** The others notice within a while; what was done since the last checkpoint is lost. */
+  private void fail(Attempt attempt, Job job, List<Member> there, long progressMs) {
+    if (attempt.brokenMs == 0) {
+      attempt.brokenMs = world.nowMs;
+      long stepMs = (long) (job.checkpointS() * 1000);
+      if (stepMs > 0) {
+        safeMs.merge(job.uid(), progressMs / stepMs * stepMs, Math::max);
+      }
+    }
+    if (world.nowMs - attempt.brokenMs > PEER_MS / 2) {
+      for (Member member : there) {
+        if (!member.worker.hanging) {
+          member.worker.end(member.task, Cause.PEERS);
+        }
+      }
+    }
+  }
+
+  private void save(Attempt attempt, Job job, List<Member> there) {
+    boolean allTold = attempt.savingSinceMs.size() == job.tasks() && there.size() == job.tasks();
+    boolean allSaved =
+        allTold
+            && attempt.savingSinceMs.values().stream()
+                .allMatch(since -> world.nowMs - since >= job.saveS() * 1000);
+    if (allSaved) {
+      saves++;
+      long savedMs = safeMs.getOrDefault(job.uid(), 0L) + attempt.savingMs - attempt.startedMs;
+      safeMs.put(job.uid(), savedMs);
+      for (Member member : there) {
+        member.task.saved = true;
+        member.worker.end(member.task, Cause.STOPPED);
+      }
+    } else if (there.size() < job.tasks() || world.nowMs - attempt.savingMs > PEER_MS) {
+      for (Member member : there) {
+        if (!member.worker.hanging) {
+          member.worker.end(member.task, Cause.PEERS);
+        }
+      }
+    }
+  }
+}
--- a/src/test/java/eiderfork/core/FakeState.java
+++ b/src/test/java/eiderfork/core/FakeState.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.model.Record;
+import eiderfork.wire.StateWire;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,6 +18,18 @@
   /** How many requests were refused for that limit. */
   int overLimit;
 
+  /** The largest value that the service takes, as its text in JSON. */
+  int mostValueBytes = Integer.MAX_VALUE;
+
+  /** The service's limit on changes, with bursts of a second's worth; null for none. */
+  TokenBucket changeLimit;
+
+  /** Transactions that were refused since a value was too large. */
+  int tooLarge;
+
+  /** Transactions that were refused for the limit on changes. */
+  int overChangeLimit;
+
   private record Entry(Record record, long version, long lease) {}
 
   private record Watcher(String prefix, long after, long untilMs, Consumer<Reply> then) {}
@@ -46,10 +59,35 @@
   }
 
   Record get(String key) {
+    Record stored = stored(key);
+    return stored instanceof Record.PackedAlloc packed ? packed.alloc() : stored;
+  }
+
+  /** What was written, in the form that it was written in. */
+  Record stored(String key) {
     Entry entry = entries.get(key);
     return entry == null ? null : entry.record;
   }
 
+  /** From now on the service holds to these limits; what is stored stays readable. */
+  void lowerLimits(double valueKb, double changesPerS, long nowMs) {
+    mostValueBytes = (int) (valueKb * 1024);
+    changeLimit = new TokenBucket(changesPerS, changesPerS, nowMs);
+  }
+
+  private static int valueBytes(StateOp.Change change) {
+    if (change.record() == null) {
+      return 0;
+    }
+    int with = bytes(StateOp.Change.put(change.key(), change.record()));
+    return with - bytes(StateOp.Change.remove(change.key()));
+  }
+
+  private static int bytes(StateOp.Change change) {
+    StateOp op = new StateOp.Transact(ImmutableList.of(), ImmutableList.of(change));
+    return StateWire.request(op).body().length;
+  }
+
   /** The keys under a prefix. */
   List<String> keys(String prefix) {
     return entries.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
@@ -176,8 +214,16 @@
       }
       then.accept(new Reply.Leased(0));
     } else if (op instanceof StateOp.Transact it) {
-      then.accept(transact(it));
-      wake();
+      if (it.changes().stream().anyMatch(change -> valueBytes(change) > mostValueBytes)) {
+        tooLarge++;
+        then.accept(new Reply.Refused(400));
+      } else if (changeLimit != null && !changeLimit.take(it.changes().size(), nowMs)) {
+        overChangeLimit++;
+        then.accept(new Reply.Refused(429));
+      } else {
+        then.accept(transact(it));
+        wake();
+      }
     }
   }
 
--- /dev/null
+++ b/src/test/java/eiderfork/core/GangTest.java
@@ -0,0 +1,357 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.JobStatus.Stance;
+import eiderfork.model.Priority;
+import eiderfork.model.Resources;
+import eiderfork.model.TaskReport;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Gangs run whole or not at all, whatever happens to a part of them. */
+class GangTest {
+  private final World world = new World(11);
+  private final List<Job> jobs = new ArrayList<>();
+
+  /** Machines of both zones are up, and every node knows that all others run this version. */
+  private void warm() {
+    submit(Samples.job(1, JobKind.SERVICE, 4, 2));
+    world.run(30);
+  }
+
+  private Job submit(Job job) {
+    world.submit(job);
+    jobs.add(job);
+    return job;
+  }
+
+  private List<FakeWorker> workersWith(Job job) {
+    return world.workers().stream()
+        .filter(w -> !w.dead && w.present().stream().anyMatch(t -> t.job().equals(job.uid())))
+        .sorted(Comparator.comparing(w -> w.machine.name()))
+        .toList();
+  }
+
+  private boolean anyTask(Job job, TaskReport.State state) {
+    return world.workers().stream()
+        .flatMap(w -> w.tasks().stream())
+        .anyMatch(t -> t.attempt.task().job().equals(job.uid()) && t.state == state);
+  }
+
+  private void allServed() {
+    Outcome.allServed(world, jobs);
+  }
+
+  @Test
+  void aGangStartsAndEndsWhole() {
+    warm();
+    Job gang = submit(Samples.gang(2, 6, 2, 6, true));
+    world.run(15);
+    assertEquals(1, world.gangs.starts);
+    assertTrue(world.checker.isDone(gang.uid()));
+    allServed();
+  }
+
+  @Test
+  void aGangThatFindsNoRoomHoldsNoneAndTwoDoNotWaitForEachOther() {
+    world.cloud.capacity = 1;
+    world.cloud.types = world.cloud.types.subList(1, 2);
+    submit(Samples.job(1, JobKind.SERVICE, 1, 0));
+    world.run(25);
+    // Two machines of eight processors, one of which a replica holds, are there for either.
+    for (int i = 2; i <= 5; i++) {
+      submit(Samples.gang(i, 6, 1, 5, true));
+    }
+    world.run(4);
+    for (Job gang : jobs.subList(1, jobs.size())) {
+      long running = world.checker.running(gang.uid());
+      assertTrue(running == 0 || running == 6, running + " of a gang hold room");
+    }
+    allServed();
+    assertEquals(4, world.gangs.starts, "none was broken off");
+  }
+
+  /** The best machine for one task may stand in a zone that has no room for the others. */
+  @Test
+  void aGangOfOneZoneGoesWhereTheWholeOfItFits() {
+    for (String zone : List.of("a", "b")) {
+      world.cloud.stock.put(new Cloud.Kind("g4", zone, false), zone.equals("a") ? 1 : 3);
+      world.cloud.stock.put(new Cloud.Kind("g4", zone, true), 0);
+      world.cloud.stock.put(new Cloud.Kind("c8", zone, false), 0);
+      world.cloud.stock.put(new Cloud.Kind("c8", zone, true), 0);
+    }
+    submit(Samples.job(1, JobKind.SERVICE, 4, 3));
+    world.run(25);
+    assertEquals(4, world.workers().size());
+    Job gang = submit(Samples.gang(2, 5, 5, 4, true));
+    world.run(12);
+    assertTrue(world.checker.isDone(gang.uid()), "three machines of the one zone hold it");
+    allServed();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 50, 100, 200, 300, 500, 700, 900, 1200, 1600, 2500})
+  void aCrashOfTheLeaderAtAnyMomentOfTheStartChangesNothing(int afterMs) {
+    warm();
+    Job gang = submit(Samples.gang(2, 6, 2, 8, true));
+    world.at(afterMs, () -> world.crash(world.leader(), 3000));
+    world.run(25);
+    assertTrue(world.checker.isDone(gang.uid()));
+    allServed();
+    assertEquals(1, world.gangs.starts);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {-1, 0, 300, 1000, 3000, 5000, 9000, 10_500, 12_000})
+  void aGangThatLosesAMachineStartsAnewFromItsCheckpoint(int crashAfterMs) {
+    warm();
+    Job gang = submit(Samples.gang(2, 6, 4, 12, true));
+    world.run(6);
+    assertEquals(1, world.gangs.starts);
+    world.die(workersWith(gang).get(0).machine.name());
+    if (crashAfterMs >= 0) {
+      world.at(crashAfterMs, () -> world.crash(world.leader(), 3000));
+    }
+    world.run(45);
+    assertEquals(2, world.gangs.starts);
+    assertTrue(world.gangs.safeMs.get(gang.uid()) >= 2000);
+    allServed();
+  }
+
+  /**
+   * While a hung machine may go on, no task of the next attempt starts, here or in another zone.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {3000, 7000, 9500, 10_500, 14_000, 25_000})
+  void aHungMemberCountsUntilItsLeaseHasLapsed(int hangMs) {
+    warm();
+    Job gang = submit(Samples.gang(2, 6, 4, 12, true));
+    world.run(6);
+    FakeWorker hung = workersWith(gang).get(0);
+    hung.hanging = true;
+    world.at(hangMs, () -> hung.hanging = false);
+    world.run(70);
+    assertTrue(world.checker.isDone(gang.uid()));
+    allServed();
+  }
+
+  /** What the leader knew of a lost member goes with it; its successor must not wait for it. */
+  @Test
+  void aSuccessorStopsTheRestOfABrokenGang() {
+    warm();
+    Job gang = submit(Samples.gang(2, 6, 4, 30, true));
+    world.run(6);
+    FakeWorker refusing = workersWith(gang).get(0);
+    world.badMachines.add(refusing.machine.name());
+    refusing.tasks().stream()
+        .filter(t -> t.attempt.task().job().equals(gang.uid()))
+        .findFirst()
+        .ifPresent(t -> refusing.end(t, TaskReport.Cause.ERROR));
+    world.at(600, () -> world.crash(world.leader(), 3000));
+    world.run(60);
+    assertTrue(world.checker.isDone(gang.uid()));
+    allServed();
+  }
+
+  /** A gang that has to leave a machine saves, if all of its tasks are told in time. */
+  @ParameterizedTest
+  @ValueSource(ints = {-1, 0, 100, 300, 600, 1200})
+  void aGangOnAMachineWithANoticeIsSavedWhole(int crashAfterMs) {
+    warm();
+    Job gang = submit(Samples.gang(2, 6, 4, 25, true, "blue", true));
+    world.run(6);
+    assertEquals(1, world.gangs.starts);
+    FakeWorker noticed = workersWith(gang).get(0);
+    noticed.noticeS = 12.0;
+    noticed.changed = true;
+    if (crashAfterMs >= 0) {
+      world.at(crashAfterMs, () -> world.crash(world.leader(), 3000));
+    }
+    world.at(12_000, () -> world.die(noticed.machine.name()));
+    world.run(60);
+    assertEquals(1, world.gangs.saves);
+    assertTrue(world.gangs.safeMs.get(gang.uid()) % 2000 != 0, "not only the checkpoint");
+    allServed();
+  }
+
+  /** With less time than it takes to save, going on loses no more and may end before. */
+  @Test
+  void aGangIsNotStoppedForANoticeThatIsTooShortToSave() {
+    warm();
+    Job gang = submit(Samples.gang(2, 4, 4, 7, true, "blue", true));
+    world.run(4);
+    FakeWorker noticed = workersWith(gang).get(0);
+    noticed.noticeS = 0.5;
+    noticed.changed = true;
+    world.run(8);
+    assertEquals(1, world.gangs.starts);
+    assertTrue(world.checker.isDone(gang.uid()));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 100, 300, 600, 900, 1500, 4000, 6500, 8000})
+  void aCancelledGangIsGoneAtOnce(int afterMs) {
+    warm();
+    Job gang = submit(Samples.gang(2, 6, 4, 6, true));
+    world.at(afterMs, () -> world.abort(gang.uid()));
+    world.run(afterMs / 1000.0 + 4);
+    assertEquals(0, world.checker.running(gang.uid()));
+    assertTrue(world.checker.finalStance(gang.uid()) != null);
+    allServed();
+  }
+
+  /** One task's end is known, another's machine dies before it says so: all are done. */
+  @ParameterizedTest
+  @ValueSource(ints = {-1, 0, 200, 600, 1500})
+  void whereOneTaskIsDoneAllAre(int crashAfterMs) {
+    warm();
+    Job gang = submit(Samples.gang(2, 6, 4, 6, true));
+    world.run(5);
+    FakeWorker unheard = workersWith(gang).get(0);
+    world.mute(unheard.machine.name(), 60_000);
+    world.deafen(unheard.machine.name(), 60_000);
+    world.run(3);
+    assertTrue(world.checker.isDone(gang.uid()));
+    if (crashAfterMs >= 0) {
+      world.at(crashAfterMs, () -> world.crash(world.leader(), 3000));
+    }
+    world.run(9);
+    world.query(gang.uid());
+    world.run(2);
+    assertEquals(Stance.DONE, world.checker.finalStance(gang.uid()));
+    assertEquals(1, world.gangs.starts);
+  }
+
+  /** Ten GPUs at most: a gang of six waits whole until there is quota for all of it. */
+  @Test
+  void theLimitHoldsForTheWholeGangAndIsNotReservedInParts() {
+    Job service = submit(Samples.job(1, JobKind.SERVICE, 6, 1, "red", Priority.HIGH, false, false));
+    world.run(25);
+    Job gang = submit(Samples.gang(2, 6, 1, 4, false, "red", false));
+    world.run(5);
+    assertEquals(0, world.checker.running(gang.uid()));
+    world.abort(service.uid());
+    world.run(12);
+    assertTrue(world.checker.isDone(gang.uid()));
+    allServed();
+  }
+
+  @Test
+  void aGangThatNeedsMoreThanItsTeamsLimitIsRefused() {
+    Job gang = Samples.gang(2, 11, 1, 4, false, "red", false);
+    world.run(8);
+    world.submit(gang);
+    world.run(4);
+    assertTrue(world.checker.wasRefused(gang.uid()));
+  }
+
+  /** Arrays are stopped for a gang only where all of it finds room that way. */
+  @Test
+  void roomIsMadeForTheWholeGangOrForNoneOfIt() {
+    world.cloud.capacity = 1;
+    world.cloud.types = world.cloud.types.subList(1, 2);
+    Job array = submit(array(1, 4, 60));
+    world.run(25);
+    long before = world.checker.running(array.uid());
+    assertEquals(4, before);
+    Job large = Samples.gang(2, 40, 1, 4, true);
+    world.submit(large);
+    world.run(5);
+    assertEquals(before, world.checker.running(array.uid()), "nothing is stopped for a part");
+    world.abort(large.uid());
+    world.run(2);
+    Job gang = submit(Samples.gang(3, 7, 1, 4, true));
+    world.run(12);
+    assertTrue(world.checker.isDone(gang.uid()));
+  }
+
+  private static Job array(int number, int tasks, double runS) {
+    Job like = Samples.job(number, JobKind.ARRAY, tasks, 0, "blue", Priority.LOW, false, true);
+    return Samples.sized(like, new Resources(7, 0, 4), runS, "c8");
+  }
+
+  /** Everything that the protocol lets go wrong, at once, while gangs come and are cancelled. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16})
+  void rulesHoldWhereTroublesMeet(long seed) {
+    World troubled = new World(seed);
+    List<Job> gangs = new ArrayList<>();
+    troubled.loss = 0.01;
+    troubled.doubled = 0.02;
+    troubled.lateWrites = 0.05;
+    troubled.lostAnswers = 0.05;
+    troubled.lateReports = 0.1;
+    troubled.reportsForNext = 0.1;
+    troubled.commandsLateMs = seed % 3 * 900;
+    for (int i = 1; i <= 14; i++) {
+      boolean red = i % 5 == 0;
+      Job gang =
+          Samples.gang(
+              i,
+              2 + i % 6,
+              red ? 1 : 1 + i % 4,
+              3 + i,
+              i % 2 == 0,
+              red ? "red" : "blue",
+              i % 3 == 0);
+      gangs.add(gang);
+      troubled.at(4000 + i * 4000L, () -> troubled.submit(gang));
+      if (i % 4 == 0) {
+        troubled.at(6000 + i * 4500L, () -> troubled.abort(gang.uid()));
+      }
+    }
+    for (int i = 0; i < 10; i++) {
+      int kind = (int) ((i + seed) % 6);
+      troubled.at(12_000 + i * 6500L, () -> trouble(troubled, kind));
+    }
+    troubled.run(85);
+    Outcome.allServed(troubled, gangs);
+  }
+
+  private static void trouble(World world, int kind) {
+    String leader = world.leader() == null ? "roost-0" : world.leader();
+    List<FakeWorker> busy = world.workers().stream().filter(w -> !w.present().isEmpty()).toList();
+    switch (kind) {
+      case 0 -> world.crash(leader, 400);
+      case 1 ->
+          busy.stream()
+              .limit(1)
+              .forEach(
+                  w -> {
+                    w.hanging = true;
+                    world.at(7000, () -> w.hanging = false);
+                  });
+      case 2 -> busy.stream().limit(1).forEach(w -> world.die(w.machine.name()));
+      case 3 -> busy.stream().limit(2).forEach(w -> world.deafen(w.machine.name(), 9000));
+      case 4 -> busy.stream().limit(2).forEach(w -> world.mute(w.machine.name(), 9000));
+      default -> {
+        world.refuse(leader, 6000);
+        world.holdNextReports(4000);
+      }
+    }
+  }
+
+  /** Without the state service nothing is decided, and a gang that runs goes on. */
+  @Test
+  void aGangOutlivesAnOutage() {
+    warm();
+    Job gang = submit(Samples.gang(2, 6, 2, 15, true));
+    world.run(5);
+    world.state.outage(world.nowMs);
+    world.run(20);
+    world.state.recover(world.nowMs);
+    world.run(6);
+    assertEquals(1, world.gangs.starts);
+    assertTrue(world.checker.isDone(gang.uid()));
+    assertFalse(anyTask(gang, TaskReport.State.RUNNING));
+  }
+}
--- a/src/test/java/eiderfork/core/LeaseProxyTest.java
+++ b/src/test/java/eiderfork/core/LeaseProxyTest.java
@@ -68,14 +68,19 @@
     assertTrue(world.state.keys(Keys.LEASE_PROXY).isEmpty(), "the records are gone");
   }
 
+  /** A node that has just been elected may leave the lead to one that more machines report to. */
+  private static final int LEAD_TRIES = 6;
+
   /** Ends all other nodes until this one leads, and waits until all is as it was. */
   private static void leadBy(World world, String node) {
-    for (String other : world.all()) {
-      if (!other.equals(node)) {
-        world.crash(other, 6000);
+    for (int i = 0; i < LEAD_TRIES && !node.equals(world.leader()); i++) {
+      for (String other : world.all()) {
+        if (!other.equals(node)) {
+          world.crash(other, 6000);
+        }
       }
+      world.run(25);
     }
-    world.run(25);
     assertEquals(node, world.leader());
   }
 
--- a/src/test/java/eiderfork/core/Samples.java
+++ b/src/test/java/eiderfork/core/Samples.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import eiderfork.config.OperatorSettings;
 import eiderfork.config.Settings;
 import eiderfork.model.Job;
@@ -63,11 +64,94 @@
             new Settings.Objective(Settings.Objective.Kind.FINISHED, "batch", 40, 1, 0.9)),
         workers,
         stateLimits,
+        stateLimits,
         new Settings.CloudLimits(2, 4),
         new Settings.Controller(cpuShare, sockets),
         OperatorSettings.DEFAULTS);
   }
 
+  /** The same settings, with limits of the state service that are to come. */
+  static Settings withNextLimits(Settings base, Settings.StateLimits next) {
+    return with(base, base.objectives(), next);
+  }
+
+  /** The same settings, with other aims of the users. */
+  static Settings withObjectives(Settings base, ImmutableList<Settings.Objective> objectives) {
+    return with(base, objectives, base.nextStateLimits());
+  }
+
+  private static Settings with(
+      Settings base, ImmutableList<Settings.Objective> objectives, Settings.StateLimits next) {
+    return new Settings(
+        base.node(),
+        base.zone(),
+        base.listen(),
+        base.peerListen(),
+        base.peers(),
+        base.peerZones(),
+        base.cloud(),
+        base.state(),
+        base.teams(),
+        objectives,
+        base.workers(),
+        base.stateLimits(),
+        next,
+        base.cloudLimits(),
+        base.controller(),
+        base.operator());
+  }
+
+  /** The same job with tasks of this size and run time, on machines of this type, spot or not. */
+  static Job sized(Job like, Resources need, double runS, String type) {
+    return new Job(
+        like.uid(),
+        like.jobClass(),
+        like.team(),
+        like.kind(),
+        like.priority(),
+        like.tasks(),
+        need,
+        ImmutableSet.of(type),
+        like.zone(),
+        like.oneZone(),
+        like.spread(),
+        true,
+        like.image(),
+        like.imageGb(),
+        runS,
+        like.checkpointS(),
+        like.saveS(),
+        like.deadlineS());
+  }
+
+  /** A gang that saves every 2 s of its work, and takes 1 s to save when it is stopped. */
+  static Job gang(int number, int tasks, double cpus, double runS, boolean oneZone) {
+    return gang(number, tasks, cpus, runS, oneZone, "blue", false);
+  }
+
+  static Job gang(
+      int number, int tasks, double cpus, double runS, boolean oneZone, String team, boolean spot) {
+    return new Job(
+        "run-%06d".formatted(number),
+        "plan",
+        team,
+        JobKind.GANG,
+        Priority.HIGH,
+        tasks,
+        new Resources(cpus, team.equals("red") ? 1 : 0, 4),
+        null,
+        null,
+        oneZone,
+        false,
+        spot,
+        "img",
+        1,
+        runS,
+        2,
+        1,
+        null);
+  }
+
   static Job job(int number, JobKind kind, int tasks, double gpus) {
     return job(number, kind, tasks, gpus, "blue", Priority.HIGH, false, false);
   }
--- /dev/null
+++ b/src/test/java/eiderfork/core/UpgradeTest.java
@@ -0,0 +1,301 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderfork.config.Settings.StateLimits;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Record;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Nodes of two versions side by side, and limits of the state service that fall. */
+class UpgradeTest {
+  private static final StateLimits NOW = new StateLimits(200, 40, 4);
+  private static final StateLimits NEXT = new StateLimits(200, 18, 2);
+
+  private static World older(long seed) {
+    World world =
+        new World(
+            seed,
+            Samples.withNextLimits(
+                Samples.settings("roost-0", Samples.QUICK, NOW, 0.2, 160, 3), NEXT));
+    for (String node : world.all()) {
+      world.older.add(node);
+      world.boot(node);
+    }
+    return world;
+  }
+
+  /** Ends a node, and has it come back with this version. */
+  private static void upgrade(World world, String node) {
+    world.older.remove(node);
+    world.crash(node, 3000);
+  }
+
+  private static boolean anyPacked(World world) {
+    return world.state.keys(Keys.ALLOC).stream()
+        .anyMatch(key -> world.state.stored(key) instanceof Record.PackedAlloc);
+  }
+
+  static List<List<Integer>> orders() {
+    return List.of(
+        List.of(0, 1, 2),
+        List.of(0, 2, 1),
+        List.of(1, 0, 2),
+        List.of(1, 2, 0),
+        List.of(2, 0, 1),
+        List.of(2, 1, 0));
+  }
+
+  /** Whoever leads meanwhile: jobs end, are cancelled and go on, and gangs wait until the last. */
+  @ParameterizedTest
+  @MethodSource("orders")
+  void anUpgradeInAnyOrderLosesNothing(List<Integer> order) {
+    World world = older(31);
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 1; i <= 12; i++) {
+      Job job = Samples.job(i, i % 3 == 0 ? JobKind.SERVICE : JobKind.ARRAY, 1 + i % 4, 1);
+      jobs.add(job);
+      world.at(2000 + i * 3000L, () -> world.submit(job));
+      if (i % 4 == 0) {
+        world.at(6000 + i * 3000L, () -> world.abort(job.uid()));
+      }
+    }
+    world.run(15);
+    Job early = Samples.gang(50, 4, 1, 4, true);
+    for (int i = 0; i < 3; i++) {
+      upgrade(world, "roost-" + order.get(i));
+      if (i == 1) {
+        // A node that is new takes no gang while an old one may lead.
+        world.submitAt("roost-" + order.get(0), early);
+      }
+      world.run(10);
+      if (i < 2) {
+        assertFalse(anyPacked(world), "an old node could not read it");
+        assertFalse(world.checker.wasAccepted(early.uid()));
+      }
+    }
+    world.submit(early);
+    jobs.add(early);
+    world.run(15);
+    assertTrue(world.checker.isDone(early.uid()));
+    assertEquals(new Record.StoredVersion(2), world.state.stored(Keys.VERSION));
+    assertTrue(anyPacked(world));
+    Outcome.allServed(world, jobs);
+  }
+
+  /** The gate's proof is stored: nobody has to be asked again when all nodes end. */
+  @Test
+  void aLaterLeaderNeedsNoProof() {
+    World world = older(32);
+    world.run(5);
+    world.all().forEach(node -> upgrade(world, node));
+    world.run(12);
+    assertEquals(new Record.StoredVersion(2), world.state.stored(Keys.VERSION));
+    world.all().forEach(node -> world.crash(node, node.equals("roost-1") ? 500 : 60_000));
+    world.run(8);
+    Job gang = Samples.gang(1, 3, 1, 4, true);
+    world.submitAt("roost-1", gang);
+    world.run(30);
+    assertTrue(world.checker.isDone(gang.uid()));
+    Outcome.allServed(world, List.of(gang));
+  }
+
+  /** A node that is away may be an old one: nothing but gangs and the packed form waits for it. */
+  @Test
+  void aMissingNodeKeepsTheGateShut() {
+    World world = older(33);
+    world.run(5);
+    upgrade(world, "roost-0");
+    upgrade(world, "roost-1");
+    world.crash("roost-2", 60_000);
+    world.run(15);
+    Job array = Samples.job(1, JobKind.ARRAY, 4, 1);
+    Job gang = Samples.gang(2, 3, 1, 4, true);
+    world.submit(array);
+    world.submit(gang);
+    world.run(25);
+    assertTrue(world.checker.isDone(array.uid()));
+    assertFalse(world.checker.wasAccepted(gang.uid()));
+    assertFalse(anyPacked(world));
+    world.run(25);
+    assertFalse(world.checker.wasAccepted(gang.uid()), "it came back old");
+    upgrade(world, "roost-2");
+    world.run(25);
+    assertTrue(world.checker.isDone(gang.uid()));
+  }
+
+  /** Leadership goes to and fro between the versions while work ends and is cancelled. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  void rulesHoldWhileBothVersionsServeUnderTroubles(long seed) {
+    World world = older(seed);
+    Random script = new Random(seed * 41);
+    world.loss = 0.01;
+    world.lateWrites = 0.06;
+    world.lostAnswers = 0.06;
+    world.lateReports = 0.1;
+    world.reportsForNext = 0.1;
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 1; i <= 20; i++) {
+      int tasks = 1 + script.nextInt(5);
+      boolean gang = i > 14;
+      Job job =
+          gang
+              ? Samples.gang(i, 2 + i % 4, 1, 5, i % 2 == 0)
+              : Samples.job(i, i % 3 == 0 ? JobKind.SERVICE : JobKind.ARRAY, tasks, 1);
+      jobs.add(job);
+      world.at(gang ? 52_000 + i * 1500L : script.nextInt(60_000), () -> world.submit(job));
+      if (i % 4 == 0) {
+        world.at(40_000 + script.nextInt(40_000), () -> world.abort(job.uid()));
+      }
+    }
+    for (int i = 0; i < 3; i++) {
+      String node = "roost-" + (i + (int) seed) % 3;
+      world.at(12_000 + i * 13_000L, () -> upgrade(world, node));
+    }
+    for (int i = 0; i < 8; i++) {
+      int kind = (i + (int) seed) % 4;
+      world.at(10_000 + i * 6000L + script.nextInt(4000), () -> trouble(world, kind));
+    }
+    world.at(
+        56_000 + script.nextInt(6000),
+        () -> world.state.lowerLimits(NEXT.valueKb(), NEXT.writeRps(), world.nowMs));
+    world.run(95);
+    Outcome.allServed(world, jobs);
+  }
+
+  private static void trouble(World world, int kind) {
+    String leader = world.leader() == null ? "roost-0" : world.leader();
+    switch (kind) {
+      case 0 -> world.crash(leader, 500);
+      case 1 -> world.refuse(leader, 5000);
+      case 2 -> {
+        world.stateDelayMs = 400;
+        world.at(5000, () -> world.stateDelayMs = 0);
+      }
+      default -> {
+        world.state.outage(world.nowMs);
+        world.at(6000, () -> world.state.recover(world.nowMs));
+      }
+    }
+  }
+
+  /**
+   * Production may leave a record that is larger than the limits to come. Once all nodes are new it
+   * is still written when its tasks end, whoever leads when the limits fall.
+   */
+  @ParameterizedTest
+  @CsvSource({"0,-1", "0,0", "0,400", "500,0", "2000,600", "6000,-1", "6000,300"})
+  void aRecordThatProductionLeftTooLargeIsStillWritten(int lowerAfterMs, int crashAfterMs) {
+    World world = older(34);
+    world.cloud.capacity = 60;
+    world.run(8);
+    Job array = manyMachines(1, 120, 45);
+    world.submit(array);
+    world.run(22);
+    assertInstanceOf(Record.Alloc.class, world.state.stored(Keys.alloc(array.uid())));
+    assertTrue(world.checker.running(array.uid()) >= 100, "on machines of their own");
+    for (String node : world.all()) {
+      upgrade(world, node);
+      world.run(6);
+    }
+    world.at(
+        lowerAfterMs, () -> world.state.lowerLimits(NEXT.valueKb(), NEXT.writeRps(), world.nowMs));
+    if (crashAfterMs >= 0) {
+      world.at(lowerAfterMs + crashAfterMs, () -> world.crash(world.leader(), 3000));
+    }
+    world.run(40);
+    Outcome.allServed(world, List.of(array));
+    assertEquals(0, world.state.tooLarge, "no write was too large");
+  }
+
+  /** Tasks that fill a machine each. */
+  private static Job manyMachines(int number, int tasks, double runS) {
+    Job like = Samples.job(number, JobKind.ARRAY, tasks, 0);
+    return new Job(
+        like.uid(),
+        like.jobClass(),
+        like.team(),
+        like.kind(),
+        like.priority(),
+        tasks,
+        new eiderfork.model.Resources(8, 0, 20),
+        com.google.common.collect.ImmutableSet.of("c8"),
+        null,
+        false,
+        false,
+        true,
+        like.image(),
+        like.imageGb(),
+        runS,
+        0,
+        0,
+        null);
+  }
+
+  /**
+   * A job whose description is larger than a value is refused for good, one that is stored served.
+   */
+  @Test
+  void aSubmissionThatCannotBeStoredIsRefusedAtOnce() {
+    World world = older(35);
+    world.all().forEach(node -> upgrade(world, node));
+    world.run(12);
+    Job before = withImage(Samples.job(1, JobKind.ARRAY, 1, 1), "x".repeat(2500));
+    world.submit(before);
+    world.run(3);
+    assertTrue(world.checker.wasAccepted(before.uid()));
+    world.state.lowerLimits(NEXT.valueKb(), NEXT.writeRps(), world.nowMs);
+    Job after = withImage(Samples.job(2, JobKind.ARRAY, 1, 1), "x".repeat(2500));
+    world.submit(after);
+    world.run(1);
+    assertEquals(1, world.state.tooLarge);
+    assertFalse(world.checker.wasAccepted(after.uid()));
+    // A repeat reaches nodes that don't lead, too, and is told what is stored.
+    world.lookClosely(before.uid());
+    world.run(20);
+    assertEquals(1, world.state.tooLarge, "it is not tried again");
+    Outcome.allServed(world, List.of(before));
+  }
+
+  private static Job withImage(Job like, String image) {
+    return Samples.job(
+        Integer.parseInt(like.uid().substring(4)),
+        like.kind(),
+        like.tasks(),
+        like.need().gpus(),
+        image);
+  }
+
+  /** The leader keeps to the lower rate once a change was refused, and loses no term over it. */
+  @Test
+  void aLowerRateOfChangesStarvesNobody() {
+    World world = older(36);
+    world.all().forEach(node -> upgrade(world, node));
+    world.run(15);
+    String leader = world.leader();
+    world.state.lowerLimits(NEXT.valueKb(), NEXT.writeRps(), world.nowMs);
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 1; i <= 150; i++) {
+      Job job = Samples.job(i, JobKind.ARRAY, 1, 0);
+      jobs.add(job);
+      world.submit(job);
+      world.run(0.1);
+    }
+    world.run(40);
+    assertEquals(leader, world.leader());
+    assertTrue(world.state.overChangeLimit < 20, world.state.overChangeLimit + " refused");
+    Outcome.allServed(world, jobs);
+  }
+}
