--- a/src/test/java/eiderfork/core/TurnOrderTest.java
+++ b/src/test/java/eiderfork/core/TurnOrderTest.java
@@ -36,26 +36,11 @@
 
   /** The users want arrays done by their deadline, and nearly all by 1.5 times that. */
   private static Settings settings() {
-    Settings base = Samples.settings("roost-0");
-    return new Settings(
-        base.node(),
-        base.zone(),
-        base.listen(),
-        base.peerListen(),
-        base.peers(),
-        base.peerZones(),
-        base.cloud(),
-        base.state(),
-        base.teams(),
+    return Samples.withObjectives(
+        Samples.settings("roost-0"),
         ImmutableList.of(
             new Settings.Objective(Settings.Objective.Kind.DEADLINE, "batch", 0, 1.5, 0.975),
-            new Settings.Objective(Settings.Objective.Kind.DEADLINE, "batch", 0, 1, 0.9)),
-        base.workers(),
-        base.stateLimits(),
-        base.nextStateLimits(),
-        base.cloudLimits(),
-        base.controller(),
-        base.operator());
+            new Settings.Objective(Settings.Objective.Kind.DEADLINE, "batch", 0, 1, 0.9)));
   }
 
   /** An array whose image of 20 GB takes 10 s to fetch. */
--- a/src/test/java/eiderfork/core/UpgradeTest.java
+++ b/src/test/java/eiderfork/core/UpgradeTest.java
@@ -9,6 +9,7 @@
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Record;
+import eiderfork.model.Resources;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -223,25 +224,7 @@
   /** Tasks that fill a machine each. */
   private static Job manyMachines(int number, int tasks, double runS) {
     Job like = Samples.job(number, JobKind.ARRAY, tasks, 0);
-    return new Job(
-        like.uid(),
-        like.jobClass(),
-        like.team(),
-        like.kind(),
-        like.priority(),
-        tasks,
-        new eiderfork.model.Resources(8, 0, 20),
-        com.google.common.collect.ImmutableSet.of("c8"),
-        null,
-        false,
-        false,
-        true,
-        like.image(),
-        like.imageGb(),
-        runS,
-        0,
-        0,
-        null);
+    return Samples.sized(like, new Resources(8, 0, 20), runS, "c8");
   }
 
   /**
