--- a/src/main/java/eiderfork/core/Gang.java
+++ b/src/main/java/eiderfork/core/Gang.java
@@ -1,5 +1,8 @@
 package eiderfork.core;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
 /**
  * What the tasks of a gang have in common. They are reserved together as one attempt, stop
  * together, and no task starts again before every task of the attempt before has surely ended.
@@ -13,6 +16,8 @@
     AT_ONCE
   }
 
+  private static final Logger LOG = LoggerFactory.getLogger(Gang.class);
+
   private final JobEntry job;
   private Stop stop = Stop.NONE;
 
@@ -35,12 +40,17 @@
    * checkpoint is lost or saved already: a task that has saved exits only once all have.
    */
   void taskLost() {
+    if (!job.placed.isEmpty()) {
+      LOG.info(
+          "gang {}: a task has ended early, the other {} stop", job.job.uid(), job.placed.size());
+    }
     stop(Stop.AT_ONCE);
   }
 
   /** Saves the progress of a gang that has to leave a machine, or goes on with a save under way. */
   void save() {
     if (stop == Stop.NONE) {
+      LOG.info("gang {}: all tasks are told to save", job.job.uid());
       stop(Stop.SAVING);
     }
   }
--- a/src/main/java/eiderfork/core/GangPlacer.java
+++ b/src/main/java/eiderfork/core/GangPlacer.java
@@ -6,9 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Finds room for all tasks of a gang at once, or reserves nothing. */
 final class GangPlacer {
+  private static final Logger LOG = LoggerFactory.getLogger(GangPlacer.class);
+
   private final JobTable jobs;
   private final RoundRoom room;
   private final RandomGenerator random;
@@ -99,6 +103,7 @@
       perZone.merge(machine.zone(), 1, Integer::sum);
       search.taken();
     }
+    LOG.debug("gang {} of {}: attempt {}", entry.job.uid(), entry.job.jobClass(), attempt);
     return true;
   }
 
