--- a/src/main/java/eiderfork/core/Drain.java
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -153,18 +153,27 @@
     return true;
   }
 
-  /** In the same zone, so that no spread changes, and on a machine that is the fuller one. */
+  /** On a machine that is the fuller one, in a zone that the job's other tasks leave open. */
   private boolean accepts(Job job, Bin from, Bin to) {
     return to.machine != null
         && !to.machine.placed.isEmpty()
         && liveness.usable(to.machine)
-        && to.kind.zone().equals(from.kind.zone())
+        && (to.kind.zone().equals(from.kind.zone()) || mayChangeZone(job, to.kind.zone()))
         && job.allowsType(to.kind.type())
         && (job.spot() || !to.kind.spot())
         && to.left.shareOf(to.room) <= from.left.shareOf(from.room)
         && placer.imageFetch().waitS(job, to.machine) <= context.stepS();
   }
 
+  /**
+   * Whether a task may move to another zone whatever the job's other tasks do. Where replicas that
+   * must be spread hold the machines of one zone, the GPUs beside them once stood free while other
+   * replicas held half-empty machines of another zone.
+   */
+  private static boolean mayChangeZone(Job job, String zone) {
+    return !job.spread() && !job.oneZone() && job.allowsZone(zone);
+  }
+
   private void empty(MachineEntry m) {
     LOG.info("emptying {}, its {} tasks fit elsewhere", m.name, m.placed.size());
     m.draining = true;
