--- a/src/main/java/eiderfork/core/Drain.java
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -124,6 +124,12 @@
     return true;
   }
 
+  /**
+   * Whether all tasks of a machine find room. Those of a machine with GPUs may take the processors
+   * that GPUs elsewhere would need: what waits and the headroom have theirs already, and as many
+   * GPUs as stand here are given back for it. Without that, replicas that must be spread held 46
+   * machines of eight GPUs each, half of them free, for the processors of 30.
+   */
   private boolean fitsElsewhere(Bin from, List<Bin> bins) {
     Map<Bin, Resources> left = new HashMap<>();
     for (Reservation p : from.machine.placed) {
@@ -136,7 +142,7 @@
         if (bin == from
             || !job.need().fitsIn(room)
             || !accepts(job, from, bin)
-            || placer.gpuBalance().strandedBy(job.need(), room) > 0) {
+            || from.room.gpus() <= 0 && placer.gpuBalance().strandedBy(job.need(), room) > 0) {
           continue;
         }
         double share = room.minus(job.need()).shareOf(bin.room);
