--- a/src/main/java/eiderfork/core/Drain.java
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -6,6 +6,7 @@
 import eiderfork.model.Resources;
 import eiderfork.model.TaskReport;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -32,7 +33,9 @@
   /** How long an emptying may take before the machine is used again, in steps. */
   private static final int EMPTYING_STEPS = 10;
 
-  /** How many machines a plan tries to empty, the dearest for their tasks first. */
+  /**
+   * How many of the dearest machines for their tasks, and of the others, a plan looks at closely.
+   */
   private static final int TRIES = 8;
 
   private final Context context;
@@ -71,7 +74,7 @@
     }
     candidates.sort(Comparator.comparingDouble(bin -> -saving(bin)));
     Set<MachineEntry> spare = new HashSet<>();
-    for (Bin bin : candidates.subList(0, Math.min(TRIES, candidates.size()))) {
+    for (Bin bin : tries(candidates)) {
       if (fitsElsewhere(bin, bins)) {
         spare.add(bin.machine);
       }
@@ -93,6 +96,24 @@
     }
   }
 
+  /**
+   * The candidates that are looked at closely: the dearest, those that were spare before, and a
+   * sample of the others, since the dearest may be such as can never be emptied.
+   */
+  private List<Bin> tries(List<Bin> candidates) {
+    List<Bin> tries = new ArrayList<>();
+    List<Bin> others = new ArrayList<>();
+    for (Bin bin : candidates) {
+      boolean surely = tries.size() < TRIES || bin.machine.spareSinceMs > 0;
+      (surely ? tries : others).add(bin);
+    }
+    for (int i = 0; i < TRIES && i < others.size(); i++) {
+      Collections.swap(others, i, i + context.random.nextInt(others.size() - i));
+      tries.add(others.get(i));
+    }
+    return tries;
+  }
+
   /** What is saved for each task that has to move. */
   private double saving(Bin bin) {
     MachineType type = fleet.type(bin.machine);
