--- /dev/null
+++ b/src/test/java/eiderfork/core/DrainTest.java
@@ -0,0 +1,63 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Resources;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Machines that the fleet could do without are emptied, wherever their replicas may go. */
+class DrainTest {
+  /** Long enough for replicas to settle, headroom to fade and a machine to be given back. */
+  private static final double LATER_S = 160;
+
+  private final World world = new World(5);
+
+  /** One ordinary machine with GPUs in each zone, and no others. */
+  private void oneMachineInEachZone() {
+    world.cloud.capacity = 0;
+    world.cloud.stock.put(new Cloud.Kind("g4", "a", false), 1);
+    world.cloud.stock.put(new Cloud.Kind("g4", "b", false), 1);
+  }
+
+  private Job submit(int number, int tasks, Resources need) {
+    Job job = Samples.sized(Samples.job(number, JobKind.SERVICE, tasks, 0), need, 0, "g4");
+    world.submit(job);
+    world.run(12);
+    return job;
+  }
+
+  private void oneMachineHolds(long replicas) {
+    assertEquals(2, world.cloud.liveHosts());
+    world.run(LATER_S);
+    assertEquals(1, world.cloud.liveHosts());
+    assertEquals(replicas, world.checker.runningTasks());
+    assertEquals(List.of(), world.checker.breaches);
+  }
+
+  /** Half-empty machines of one zone once stood beside free GPUs of another. */
+  @Test
+  void replicasThatMayBeAnywhereMoveToAnotherZone() {
+    oneMachineInEachZone();
+    submit(1, 2, new Resources(1, 1, 4));
+    Job leaves = submit(2, 2, new Resources(1, 1, 4));
+    submit(3, 1, new Resources(1, 1, 4));
+    world.abort(leaves.uid());
+    world.run(3);
+    oneMachineHolds(3);
+  }
+
+  /** Machines with GPUs that nobody wanted were kept for their processors' sake. */
+  @Test
+  void aMachineWithGpusIsEmptiedThoughItsTasksTakeTheProcessorsOfOtherGpus() {
+    oneMachineInEachZone();
+    submit(1, 2, new Resources(4, 1, 4));
+    Job leaves = submit(2, 2, new Resources(4, 1, 4));
+    submit(3, 1, new Resources(8, 0, 4));
+    world.abort(leaves.uid());
+    world.run(3);
+    oneMachineHolds(3);
+  }
+}
