--- a/src/main/java/eiderfork/core/Gang.java
+++ b/src/main/java/eiderfork/core/Gang.java
@@ -55,6 +55,12 @@
     }
   }
 
+  /** Takes back a decision to save of which nothing was sent yet. */
+  void goOn() {
+    stop = Stop.NONE;
+    job.placed.values().forEach(task -> task.stopping = false);
+  }
+
   /**
    * The cloud takes one of the gang's machines away in {@code noticeS}. The progress is saved where
    * there is time for it; otherwise the gang goes on, since it may be done before.
--- a/src/main/java/eiderfork/core/JobTable.java
+++ b/src/main/java/eiderfork/core/JobTable.java
@@ -117,7 +117,7 @@
 
   /** An older leader may have seen a part of a gang end, and ended before it did what follows. */
   private static void restoreGang(JobEntry entry) {
-    if (entry.gang == null || entry.committed.done()) {
+    if (entry.gang == null || entry.aborted || entry.committed.done()) {
       return;
     }
     if (!entry.finished.isEmpty()) {
--- a/src/main/java/eiderfork/core/Preemption.java
+++ b/src/main/java/eiderfork/core/Preemption.java
@@ -19,8 +19,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Makes room for services that find none: stops tasks of less urgent arrays, or moves replicas that
- * fit elsewhere, whichever costs least. What is freed is claimed for the job.
+ * Makes room for services that find none: stops tasks of less urgent arrays or less urgent gangs as
+ * a whole, or moves replicas that fit elsewhere, whichever costs least. What is freed is claimed
+ * for the job.
  */
 final class Preemption {
   private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
@@ -143,8 +144,7 @@
       trying.forEach((m, needs) -> filling.merge(m, needs, Resources::plus));
       for (Reservation p : best.victims) {
         LOG.info("stopping {} on {} for {}", p.id(), best.machine.name, job.uid());
-        p.stopping = true;
-        chosen.add(p);
+        stop(p);
         best.machine.urgent = true;
       }
       room.claim(
@@ -168,13 +168,31 @@
     if (makeRoom(entry, wanted, perZone, Double.MAX_VALUE) == wanted) {
       return true;
     }
-    chosen.forEach(victim -> victim.stopping = false);
+    chosen.forEach(Preemption::goOn);
     room.takeClaims(entry);
     // What was proved beside the tasks that found room does not hold without them.
     hopeless.retainAll(provedBefore);
     return false;
   }
 
+  private void stop(Reservation p) {
+    if (p.job.gang == null) {
+      p.stopping = true;
+    } else {
+      p.job.gang.save();
+    }
+    chosen.add(p);
+  }
+
+  /** Nothing was sent yet of what this round decided. */
+  private static void goOn(Reservation p) {
+    if (p.job.gang == null) {
+      p.stopping = false;
+    } else {
+      p.job.gang.goOn();
+    }
+  }
+
   private Hopeless hopeless(Job job, String zone) {
     return new Hopeless(
         job.need(),
@@ -267,9 +285,21 @@
     return new Option(m, stopped, loss, order);
   }
 
+  /**
+   * What each of a gang's tasks on a machine bears of stopping all of the gang. It saves first if
+   * it can, and is away for a while; a gang that can't save loses what it did.
+   */
+  private double gangLoss(Reservation p) {
+    Job its = p.job.job;
+    double ranS = p.runningSinceMs == 0 ? 0 : (context.nowMs - p.runningSinceMs) / 1000.0;
+    double lostS = its.checkpointS() > 0 ? its.saveS() : ranS;
+    long here = p.machine.placed.stream().filter(other -> other.job == p.job).count();
+    return (lostS + MOVE_STEPS * context.stepS()) * its.tasks() / here;
+  }
+
   private boolean killable(Job job, Reservation p) {
     return mayStop
-        && p.job.job.kind() == JobKind.ARRAY
+        && p.job.job.kind() != JobKind.SERVICE
         && p.job.job.priority().compareTo(job.priority()) > 0;
   }
 
@@ -325,6 +355,9 @@
   private double loss(Job job, Reservation p) {
     Job its = p.job.job;
     double weight = weight(its);
+    if (killable(job, p) && p.job.gang != null) {
+      return gangLoss(p) * weight;
+    }
     if (killable(job, p)) {
       if (p.seen != TaskReport.State.RUNNING || p.runningSinceMs == 0) {
         return 0;
--- a/src/test/java/eiderfork/core/GangTest.java
+++ b/src/test/java/eiderfork/core/GangTest.java
@@ -274,6 +274,31 @@
     assertTrue(world.checker.isDone(gang.uid()));
   }
 
+  /** A gang is stopped whole for what is more urgent, and goes on from what it saved. */
+  @ParameterizedTest
+  @ValueSource(ints = {-1, 0, 150, 400, 900, 1600})
+  void aGangThatIsStoppedForAnUrgentServiceSavesWhole(int crashAfterMs) {
+    world.cloud.types = world.cloud.types.subList(1, 2);
+    world.cloud.capacity = 0;
+    world.cloud.stock.put(new Cloud.Kind("c8", "a", false), 2);
+    world.run(5);
+    Job gang = submit(Samples.gang(1, 4, 4, 25, true));
+    world.run(20);
+    assertEquals(1, world.gangs.starts);
+    Job urgent = Samples.job(2, JobKind.SERVICE, 1, 0, "blue", Priority.PRODUCTION, false, false);
+    submit(Samples.sized(urgent, new Resources(6, 0, 4), 0, "c8"));
+    if (crashAfterMs >= 0) {
+      world.at(crashAfterMs, () -> world.crash(world.leader(), 2000));
+    }
+    world.run(15);
+    assertEquals(1, world.checker.running(urgent.uid()));
+    assertEquals(0, world.checker.running(gang.uid()));
+    assertEquals(1, world.gangs.saves);
+    world.abort(urgent.uid());
+    allServed();
+    assertEquals(2, world.gangs.starts);
+  }
+
   private static Job array(int number, int tasks, double runS) {
     Job like = Samples.job(number, JobKind.ARRAY, tasks, 0, "blue", Priority.LOW, false, true);
     return Samples.sized(like, new Resources(7, 0, 4), runS, "c8");
