--- a/src/test/java/eiderfork/core/JobTableTest.java
+++ b/src/test/java/eiderfork/core/JobTableTest.java
@@ -1,6 +1,8 @@
 package eiderfork.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.model.Job;
@@ -15,16 +17,59 @@
 
 /** What a leader keeps of jobs beside their state. */
 class JobTableTest {
+  private final Context context = new Context(Samples.settings("roost-0"), new Random(1), 0);
+  private final StateGate gate = new StateGate(context);
+  private final JobTable jobs = new JobTable(context, gate, null, null);
+  private final Fleet fleet = new Fleet(context, jobs);
+
+  /** A gang of four of which an older leader has written this. */
+  private JobEntry restoredGang(ImmutableList<Record.Range> finished) {
+    JobEntry entry = jobs.add(Samples.gang(9, 4, 1, 4, true), 1);
+    ImmutableList<Record.Span> reserved =
+        ImmutableList.of(new Record.Span(1, 1, 3, "n-1"), new Record.Span(3, 3, 3, "n-2"));
+    jobs.restore(entry, new Record.Alloc(3, false, reserved, finished), 7, fleet);
+    return entry;
+  }
+
+  /** They would wait for `peers` or for each other until their own time-outs. */
+  @Test
+  void aNewLeaderStopsWhatIsLeftOfABrokenGang() {
+    JobEntry entry = restoredGang(ImmutableList.of());
+    assertEquals(2, entry.placed.size());
+    assertTrue(entry.placed.values().stream().noneMatch(Reservation::wanted));
+    assertEquals(0, entry.stopGraceS());
+    assertFalse(entry.gang.mayBegin());
+  }
+
+  @Test
+  void aNewLeaderKnowsThatAllTasksOfAGangAreDoneWhereOneIs() {
+    JobEntry entry = restoredGang(ImmutableList.of(new Record.Range(0, 0)));
+    assertTrue(entry.allFinished());
+    assertTrue(entry.dirty, "it is written");
+    assertEquals(2, entry.counted(), "until then the others count");
+    assertTrue(jobs.mustKeep(entry, 3, 1), "and are not cleared");
+  }
+
+  /** A task's end ends the others' reservations at once, not when their machines say so. */
+  @Test
+  void whereOneTaskOfAGangIsDoneAllAre() {
+    MachineEntry machine = fleet.known("n-1");
+    JobEntry entry = jobs.add(Samples.gang(9, 4, 1, 4, true), 1);
+    Reservation first = jobs.propose(entry, 0, 1, machine);
+    for (int i = 1; i < 4; i++) {
+      jobs.propose(entry, i, 1, machine);
+    }
+    jobs.release(first, true);
+    assertTrue(entry.allFinished());
+    assertTrue(entry.placed.isEmpty() && entry.waiting.isEmpty());
+  }
+
   /**
    * A new leader once knew only the images of what runs, and sent replicas to machines that had to
    * fetch first.
    */
   @Test
   void aNewLeaderKnowsWhichImagesMachinesWereGiven() {
-    Context context = new Context(Samples.settings("roost-0"), new Random(1), 0);
-    StateGate gate = new StateGate(context);
-    JobTable jobs = new JobTable(context, gate, null, null);
-    Fleet fleet = new Fleet(context, jobs);
     fleet.types(
         ImmutableList.of(
             new MachineType("g4", new Resources(16, 4, 64), 2, 2, 8, 3, 4, ImmutableList.of("a"))));
--- a/src/test/java/eiderfork/core/WorkerControlTest.java
+++ b/src/test/java/eiderfork/core/WorkerControlTest.java
@@ -191,6 +191,25 @@
     assertEquals(List.of(new Command.Clear(attempt)), report(SESSION, 6, firstToken, done(task)));
   }
 
+  /**
+   * The leader before told one task of a gang to save. If the others are not told soon, the save
+   * fails and all fall back to their checkpoint.
+   */
+  @Test
+  void aSaveThatAnOlderLeaderBeganIsGoneOnWith() {
+    job = jobs.add(Samples.gang(2, 2, 1, 30, true), 2);
+    Reservation told = jobs.propose(job, 0, 1, machine);
+    Reservation other = jobs.propose(job, 1, 1, machine);
+    jobs.write(job, Urgency.START);
+    answer(new Reply.Committed(5));
+    report(SESSION, 2, firstToken);
+    TaskReport saving = new TaskReport(told.id(), TaskReport.State.SAVING, null, false);
+    double graceS = job.job.saveS();
+    assertEquals(
+        List.of(new Command.Kill(told.id(), graceS), new Command.Kill(other.id(), graceS)),
+        report(SESSION, 3, firstToken, saving, running(other)));
+  }
+
   @Test
   void aTokenOfALaterTermEndsThisOne() {
     report(SESSION, 2, term.endOfTokens());
