--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -30,6 +30,9 @@
   /** Ticks in a step: the finest grain of anything timed. */
   private static final int TICKS_PER_STEP = 20;
 
+  /** How long a new leader waits for the first report of any machine, in steps. */
+  private static final int FIRST_REPORTS_STEPS = 4;
+
   /** Cancellations come first: no worker's lease is renewed before they are known. */
   private static final String[] REBUILT_FROM = {
     Keys.ABORT, Keys.VERSION, Keys.TYPES, Keys.JOB, Keys.ALLOC, Keys.RENT, Keys.RETURN
@@ -54,6 +57,7 @@
 
   private boolean rebuilt;
   private boolean roundWanted;
+  private long electedMs;
   private long nextRoundMs;
   private long nextPlanMs;
 
@@ -265,18 +269,29 @@
     deafCheckMs = context.nowMs + context.stepMs();
     int known = 0;
     int heard = 0;
+    int tasked = 0;
     for (MachineEntry m : fleet.machines()) {
       if (m.report != null && !m.returning) {
         known++;
         heard += liveness.heard(m) ? 1 : 0;
       }
+      tasked += m.placed.isEmpty() ? 0 : 1;
     }
     if (known >= 2 && heard * 2 < known && peers.betterHeard(heard)) {
       LOG.info("hears {} of {} machines, a peer hears more", heard, known);
       term.resign(context.leaseMs());
+    } else if (known == 0 && tasked >= 2 && isLongElected() && peers.betterHeard(1)) {
+      // A leader that was cut from the workers when it was elected once held the lead for 32 s.
+      LOG.info("has heard none of {} machines with tasks, a peer hears some", tasked);
+      term.resign(context.leaseMs());
     }
   }
 
+  /** Whether workers that can reach this node have had the time to find it. */
+  private boolean isLongElected() {
+    return context.nowMs - electedMs > FIRST_REPORTS_STEPS * context.stepMs();
+  }
+
   private void report(long ticket, Report report) {
     heardMs.put(report.machine().name(), context.nowMs);
     if (term.leading() && cancellations.mayRenew()) {
@@ -345,6 +360,7 @@
   @Override
   public void elected() {
     leaseProxy.stop();
+    electedMs = context.nowMs;
     forget();
     workers.elected();
     rebuild(0, term.number(), -1);
--- a/src/test/java/eiderfork/core/ScenarioTest.java
+++ b/src/test/java/eiderfork/core/ScenarioTest.java
@@ -172,6 +172,23 @@
     assertTrue(survived >= 70, survived + " of 80 tasks outlive it");
   }
 
+  /** It knew no machine by a report, so that it missed none. */
+  @Test
+  void aLeaderThatNoWorkerCouldReachFromTheStartResigns() {
+    submit(Samples.job(1, JobKind.SERVICE, 4, 4));
+    world.run(30);
+    List<String> others = world.all().stream().filter(n -> !n.equals(world.leader())).toList();
+    String cutOff = others.get(0);
+    world.cut("*>" + cutOff, 60_000);
+    world.cut(cutOff + ">*", 60_000);
+    world.refuse(others.get(1), 6000);
+    world.crash(world.leader(), 12_000);
+    world.run(6);
+    assertEquals(cutOff, world.leader());
+    world.run(6);
+    assertNotEquals(cutOff, world.leader());
+  }
+
   @Test
   void manySubmissionsDoNotHoldRentsUp() {
     world.run(3);
