--- /dev/null
+++ b/src/test/java/eiderfork/core/AllocRoomTest.java
@@ -0,0 +1,36 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderfork.model.JobKind;
+import org.junit.jupiter.api.Test;
+
+/** A reservation is made only where its record can be written now and under the limits to come. */
+class AllocRoomTest {
+  private static final int TASKS = 1000;
+
+  /** How many tasks on machines of their own may be reserved at once. */
+  private static int reservable(double plainKb, double packedKb) {
+    var job = Samples.job(1, JobKind.ARRAY, TASKS, 1);
+    Backoff backoff = new Backoff(1, 2);
+    JobEntry entry = new JobEntry(job, TaskProfile.of(job), 1, 0, backoff, backoff);
+    AllocRoom room = new AllocRoom(entry, plainKb, packedKb);
+    int count = 0;
+    while (count < TASKS && room.fits(1, "n-%06d".formatted(count))) {
+      room.add(1, "n-%06d".formatted(count));
+      count++;
+    }
+    return count;
+  }
+
+  @Test
+  void bothFormsHaveToFitWhileThePlainOneIsWritten() {
+    int plain = reservable(2, Double.POSITIVE_INFINITY);
+    int packed = reservable(Double.POSITIVE_INFINITY, 2);
+    assertTrue(0 < plain && plain < packed && packed < TASKS, plain + " and " + packed);
+    assertEquals(plain, reservable(2, 2));
+    assertEquals(packed, reservable(64, 2));
+    assertEquals(packed, reservable(Double.POSITIVE_INFINITY, 2), "only the packed one is written");
+  }
+}
--- a/src/test/java/eiderfork/core/UpgradeTest.java
+++ b/src/test/java/eiderfork/core/UpgradeTest.java
@@ -109,6 +109,7 @@
     world.submitAt("roost-1", gang);
     world.run(30);
     assertTrue(world.checker.isDone(gang.uid()));
+    assertInstanceOf(Record.PackedAlloc.class, world.state.stored(Keys.alloc(gang.uid())));
     Outcome.allServed(world, List.of(gang));
   }
 
@@ -221,6 +222,28 @@
     assertEquals(0, world.state.tooLarge, "no write was too large");
   }
 
+  /** While a node is missing the packed form may not be written; the job still runs to its end. */
+  @Test
+  void aRecordThatIsTooLargeIsWrittenOnceEnoughTasksHaveEnded() {
+    World world = older(34);
+    world.cloud.capacity = 60;
+    world.run(8);
+    Job array = manyMachines(1, 120, 45);
+    world.submit(array);
+    world.run(22);
+    upgrade(world, "roost-0");
+    upgrade(world, "roost-1");
+    world.crash("roost-2", 300_000);
+    world.run(10);
+    world.state.lowerLimits(NEXT.valueKb(), NEXT.writeRps(), world.nowMs);
+    world.workers().stream().limit(30).forEach(w -> world.die(w.machine.name()));
+    world.run(110);
+    assertTrue(world.state.tooLarge > 0);
+    assertTrue(world.state.tooLarge < 60, world.state.tooLarge + " writes for nothing");
+    assertTrue(world.committedDone(array));
+    assertFalse(anyPacked(world));
+  }
+
   /** Tasks that fill a machine each. */
   private static Job manyMachines(int number, int tasks, double runS) {
     Job like = Samples.job(number, JobKind.ARRAY, tasks, 0);
--- a/src/test/java/eiderfork/core/UserRequestsTest.java
+++ b/src/test/java/eiderfork/core/UserRequestsTest.java
@@ -7,7 +7,9 @@
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.JobStatus;
+import eiderfork.model.MachineType;
 import eiderfork.model.Record;
+import eiderfork.model.Resources;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -84,6 +86,53 @@
     assertEquals(JobStatus.Stance.DONE, answers.get(0).job().stance());
   }
 
+  private static final Job GANG = Samples.gang(2, 3, 1, 4, true);
+
+  /** A gang comes to this node, which can't reach a leader; goes on until the version is read. */
+  private void submitGang() {
+    requests.take(new Input.Submit(1, GANG, new byte[0]), true, answers::add);
+    assertEquals(new StateOp.Get(Keys.job(GANG.uid())), next(null, 0));
+    Reply none = new Reply.Value(null, 0);
+    assertEquals(new StateOp.Get(Keys.TYPES), next(none, lastCall));
+    MachineType type =
+        new MachineType("g4", new Resources(16, 4, 64), 9, 2, 8, 3, 4, ImmutableList.of("a"));
+    Reply types = new Reply.Value(new Record.Types(ImmutableList.of(type)), 2);
+    assertEquals(new StateOp.Get(Keys.VERSION), next(types, lastCall));
+  }
+
+  /** An old leader would take it, and carry it out by older rules. */
+  @Test
+  void aGangIsNotPassedOnWhileTheLeaderMayBeOld() {
+    term.heardLeader("roost-1", 4);
+    assertEquals("roost-1", term.leader());
+    submitGang();
+    context.answered(lastCall, new Reply.Value(null, 0));
+    assertEquals(503, answers.get(0).status());
+    assertTrue(answers.get(0).retryAfterS() > 0);
+  }
+
+  @Test
+  void aNodeWithoutProofReadsWhichVersionIsStored() {
+    submitGang();
+    Reply current = new Reply.Value(new Record.StoredVersion(ClusterVersion.CURRENT), 8);
+    StateOp.Transact write = (StateOp.Transact) next(current, lastCall);
+    assertEquals(
+        StateOp.Change.put(Keys.job(GANG.uid()), new Record.JobSpec(GANG)), write.changes().get(0));
+  }
+
+  /** A peer may have taken the job before the limits fell: then it is known, and not refused. */
+  @Test
+  void aSubmissionThatIsTooLargeIsLookedUpBeforeItIsRefused() {
+    submitGang();
+    next(new Reply.Value(new Record.StoredVersion(ClusterVersion.CURRENT), 8), lastCall);
+    assertEquals(new StateOp.Get(Keys.job(GANG.uid())), next(new Reply.Refused(400), lastCall));
+    Reply there = new Reply.Value(new Record.JobSpec(GANG), 7);
+    assertEquals(new StateOp.Get(Keys.alloc(GANG.uid())), next(there, lastCall));
+    next(new Reply.Value(null, 0), lastCall);
+    context.answered(lastCall, new Reply.Value(null, 0));
+    assertEquals(200, answers.get(0).status());
+  }
+
   @Test
   void anUnansweredCancellationIsNotConfirmed() {
     abort(alloc(false), 9);
--- a/src/test/java/eiderfork/core/WorkerControlTest.java
+++ b/src/test/java/eiderfork/core/WorkerControlTest.java
@@ -11,6 +11,7 @@
 import eiderfork.model.JobKind;
 import eiderfork.model.Machine;
 import eiderfork.model.MachineType;
+import eiderfork.model.Record;
 import eiderfork.model.Report;
 import eiderfork.model.Resources;
 import eiderfork.model.TaskReport;
@@ -210,6 +211,37 @@
         report(SESSION, 3, firstToken, saving, running(other)));
   }
 
+  /** The write went out twice; the first copy was applied before the limits fell. */
+  @Test
+  void aWriteThatIsTooLargeMayHaveBeenAppliedBefore() {
+    Reservation task = jobs.propose(job, 0, 1, machine);
+    Record.Alloc record = job.toRecord();
+    jobs.write(job, Urgency.START);
+    answer(new Reply.Unanswered());
+    context.nowMs += 1000;
+    jobs.tick();
+    gate.pump();
+    answer(new Reply.Refused(400));
+    answer(new Reply.Value(record, 5));
+    assertTrue(task.committed);
+    assertEquals(5, job.allocVersion);
+  }
+
+  /** 400 is final: what was to be reserved waits for its turn again. */
+  @Test
+  void aWriteThatIsTooLargeIsNotRepeated() {
+    jobs.propose(job, 0, 1, machine);
+    jobs.write(job, Urgency.START);
+    answer(new Reply.Refused(400));
+    answer(new Reply.Value(null, 0));
+    assertTrue(job.placed.isEmpty());
+    assertTrue(job.waiting.get(0));
+    assertFalse(job.writing);
+    assertFalse(job.mayWrite(context.nowMs), "not at once");
+    jobs.tick();
+    assertTrue(effects(Effect.AskState.class).isEmpty());
+  }
+
   @Test
   void aTokenOfALaterTermEndsThisOne() {
     report(SESSION, 2, term.endOfTokens());
