--- /dev/null
+++ b/src/main/java/eiderfork/core/CommittedState.java
@@ -0,0 +1,179 @@
+package eiderfork.core;
+
+import eiderfork.model.Job;
+import eiderfork.model.Record;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings a new leader's memory up to what is committed, part by part, and keeps it so: jobs and
+ * cancellations are written by other nodes, too.
+ */
+final class CommittedState {
+  private static final Logger LOG = LoggerFactory.getLogger(CommittedState.class);
+
+  /** Cancellations come first: no worker's lease is renewed before they are known. */
+  private static final String[] REBUILT_FROM = {
+    Keys.ABORT, Keys.VERSION, Keys.TYPES, Keys.JOB, Keys.ALLOC, Keys.RENT, Keys.RETURN
+  };
+
+  private final Context context;
+  private final StateGate gate;
+  private final Term term;
+  private final StateReader reader;
+  private final JobTable jobs;
+  private final Fleet fleet;
+  private final Cloud cloud;
+  private final Planner planner;
+  private final ReadBarrier readBarrier;
+  private final Cancellations cancellations;
+  private final ClusterVersion version;
+  private final Runnable rebuilt;
+  private final Runnable kick;
+
+  /**
+   * @param rebuilt is called once memory holds all that was committed
+   * @param kick is called where a round has something new to place
+   */
+  CommittedState(
+      Context context,
+      StateGate gate,
+      Term term,
+      StateReader reader,
+      JobTable jobs,
+      Fleet fleet,
+      Cloud cloud,
+      Planner planner,
+      ReadBarrier readBarrier,
+      Cancellations cancellations,
+      ClusterVersion version,
+      Runnable rebuilt,
+      Runnable kick) {
+    this.context = context;
+    this.gate = gate;
+    this.term = term;
+    this.reader = reader;
+    this.jobs = jobs;
+    this.fleet = fleet;
+    this.cloud = cloud;
+    this.planner = planner;
+    this.readBarrier = readBarrier;
+    this.cancellations = cancellations;
+    this.version = version;
+    this.rebuilt = rebuilt;
+    this.kick = kick;
+  }
+
+  /** Reads everything that was committed in earlier terms, and follows what comes. */
+  void rebuild() {
+    rebuild(0, term.number(), -1);
+  }
+
+  private void rebuild(int part, long number, long revision) {
+    if (part == REBUILT_FROM.length) {
+      readBarrier.start(revision);
+      jobs.noteImages(fleet);
+      LOG.info("rebuilt: {} jobs, {} machines", jobs.size(), fleet.machines().size());
+      rebuilt.run();
+      follow(Keys.JOB, number, revision);
+      follow(Keys.ABORT, number, revision);
+      kick.run();
+      return;
+    }
+    long askedMs = context.nowMs;
+    reader.scan(
+        REBUILT_FROM[part],
+        "",
+        number,
+        this::restore,
+        seen -> {
+          if (REBUILT_FROM[part].equals(Keys.ABORT)) {
+            // Pages are read one after the other, so only the first moment is sure.
+            cancellations.caughtUp(askedMs);
+          }
+          rebuild(part + 1, number, revision < 0 ? seen : revision);
+        });
+  }
+
+  private void restore(Reply.Item item) {
+    Record record = item.record();
+    if (record instanceof Record.Unreadable it) {
+      unreadable(item.key(), it);
+    } else if (record instanceof Record.JobSpec spec) {
+      add(spec.job(), item.version());
+    } else if (record instanceof Record.Alloc alloc) {
+      JobEntry entry = jobs.get(Keys.tail(item.key()));
+      if (entry != null) {
+        jobs.restore(entry, alloc, item.version(), fleet);
+      }
+    } else if (record instanceof Record.Aborted aborted) {
+      cancellations.read(aborted.uid());
+    } else if (record instanceof Record.Rent rent) {
+      cloud.restoreRent(rent);
+    } else if (record instanceof Record.Return back) {
+      cloud.restoreReturn(item.key(), back);
+    } else if (record instanceof Record.StoredVersion stored) {
+      version.read(stored, item.version());
+    } else if (record instanceof Record.Types types) {
+      fleet.types(types.types());
+    }
+  }
+
+  /** Follows what other nodes write: submissions and cancellations. */
+  private void follow(String prefix, long number, long revision) {
+    long askedMs = context.nowMs;
+    gate.send(
+        // Short, so that a lost reply does not leave memory behind for long.
+        new StateOp.Watch(prefix, revision, 2 * context.stepMs()),
+        Urgency.SUBMIT,
+        reply -> {
+          if (!reader.leads(number)) {
+            return;
+          }
+          if (reply instanceof Reply.Changes changes) {
+            changes.items().forEach(this::changed);
+            if (prefix.equals(Keys.ABORT)) {
+              cancellations.caughtUp(askedMs);
+              // The service forgets old changes; the readBarrier asks after none that came before.
+              readBarrier.start(changes.revision());
+            }
+            follow(prefix, number, changes.revision());
+          } else if (reply instanceof Reply.Refused refused && refused.status() == 410) {
+            reader.scan(prefix, "", number, this::changed, seen -> follow(prefix, number, seen));
+          } else {
+            reader.later(() -> follow(prefix, number, revision));
+          }
+        });
+  }
+
+  /** A job that memory can't hold truly is frozen, and the rest goes on without it. */
+  private void unreadable(String key, Record.Unreadable record) {
+    LOG.error("{} can't be read and is left as it is: {}", key, record.why());
+    if (key.startsWith(Keys.JOB) || key.startsWith(Keys.ALLOC)) {
+      jobs.freeze(Keys.tail(key));
+    }
+  }
+
+  /** Takes what another node wrote. */
+  void changed(Reply.Item item) {
+    if (item.record() instanceof Record.Unreadable it) {
+      unreadable(item.key(), it);
+    } else if (item.record() instanceof Record.JobSpec spec) {
+      if (jobs.get(spec.job().uid()) == null) {
+        add(spec.job(), item.version());
+        planner.arrived(spec.job());
+        kick.run();
+      }
+    } else if (item.record() instanceof Record.Aborted aborted) {
+      cancellations.read(aborted.uid());
+    }
+  }
+
+  /** The two watches run side by side, so a job may come after its own cancellation. */
+  private void add(Job job, long order) {
+    jobs.add(job, order);
+    if (cancellations.contains(job.uid())) {
+      jobs.markAborted(job.uid());
+    }
+  }
+}
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -2,20 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.config.Settings;
-import eiderfork.model.Job;
-import eiderfork.model.Record;
 import eiderfork.model.Report;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
-import java.util.Set;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -33,11 +26,6 @@
   /** How long a new leader waits for the first report of any machine, in steps. */
   private static final int FIRST_REPORTS_STEPS = 4;
 
-  /** Cancellations come first: no worker's lease is renewed before they are known. */
-  private static final String[] REBUILT_FROM = {
-    Keys.ABORT, Keys.VERSION, Keys.TYPES, Keys.JOB, Keys.ALLOC, Keys.RENT, Keys.RETURN
-  };
-
   private final Context context;
   private final StateGate gate;
   private final Term term;
@@ -54,6 +42,8 @@
   private final Cancellations cancellations;
   private final LeaseProxy leaseProxy;
   private final UserRequests users;
+  private final StateReader reader;
+  private final CommittedState committed;
 
   private boolean rebuilt;
   private boolean roundWanted;
@@ -70,9 +60,6 @@
 
   private final Queue<Parked> parked = new ArrayDeque<>();
 
-  /** Reads that failed and are tried again at the next tick. */
-  private final List<Runnable> again = new ArrayList<>();
-
   /**
    * Makes a controller that follows until it is elected.
    *
@@ -95,8 +82,9 @@
     peers = new Peers(context, term, cancellations, version);
     leaseProxy = new LeaseProxy(context, gate, term, peers, cancellations);
     liveness = new MachineLiveness(context, term);
+    reader = new StateReader(gate, term);
     LeaseLapses lapses =
-        new LeaseLapses(context, fleet, peers, liveness, this::readProxied, this::kick);
+        new LeaseLapses(context, fleet, peers, liveness, reader::readProxied, this::kick);
     workers =
         new WorkerControl(context, term, jobs, fleet, cancellations, liveness, lapses, this::kick);
     placer = new Placer(context, term, gate, jobs, fleet, liveness, version);
@@ -115,6 +103,21 @@
             cancellations,
             version,
             this::kick);
+    committed =
+        new CommittedState(
+            context,
+            gate,
+            term,
+            reader,
+            jobs,
+            fleet,
+            cloud,
+            planner,
+            readBarrier,
+            cancellations,
+            version,
+            this::rebuilt,
+            this::kick);
   }
 
   /** Takes one input at {@code nowMs} of a steady clock, and says what follows from it. */
@@ -229,9 +232,7 @@
     users.tick();
     leaseProxy.retry();
     leaseProxy.tick();
-    List<Runnable> due = List.copyOf(again);
-    again.clear();
-    due.forEach(Runnable::run);
+    reader.tick();
     if (term.leading()) {
       workers.tick();
       if (rebuilt && term.sure()) {
@@ -363,7 +364,7 @@
     electedMs = context.nowMs;
     forget();
     workers.elected();
-    rebuild(0, term.number(), -1);
+    committed.rebuild();
   }
 
   @Override
@@ -373,7 +374,7 @@
 
   private void forget() {
     rebuilt = false;
-    again.clear();
+    reader.stop();
     users.ready(false);
     readBarrier.stop();
     cancellations.forget();
@@ -383,171 +384,14 @@
     planner.clear();
   }
 
-  private boolean still(long number) {
-    return term.leading() && term.number() == number;
-  }
-
-  /** Reads everything that was committed, part by part. */
-  private void rebuild(int part, long number, long revision) {
-    if (part == REBUILT_FROM.length) {
-      rebuilt = true;
-      readBarrier.start(revision);
-      users.ready(true);
-      jobs.noteImages(fleet);
-      workers.rebuilt();
-      fleet.machines().forEach(workers::reconcile);
-      LOG.info("rebuilt: {} jobs, {} machines", jobs.size(), fleet.machines().size());
-      follow(Keys.JOB, number, revision);
-      follow(Keys.ABORT, number, revision);
-      kick();
-      return;
-    }
-    long askedMs = context.nowMs;
-    scan(
-        REBUILT_FROM[part],
-        "",
-        number,
-        this::restore,
-        seen -> {
-          if (REBUILT_FROM[part].equals(Keys.ABORT)) {
-            // Pages are read one after the other, so only the first moment is sure.
-            cancellations.caughtUp(askedMs);
-          }
-          rebuild(part + 1, number, revision < 0 ? seen : revision);
-        });
-  }
-
-  private void scan(
-      String prefix,
-      String after,
-      long number,
-      BiConsumer<String, Reply.Item> taker,
-      java.util.function.LongConsumer then) {
-    gate.send(
-        new StateOp.Scan(prefix, after),
-        Urgency.START,
-        reply -> {
-          if (!still(number)) {
-            return;
-          }
-          if (!(reply instanceof Reply.Page page)) {
-            again.add(() -> scan(prefix, after, number, taker, then));
-            return;
-          }
-          String last = after;
-          for (Reply.Item item : page.items()) {
-            taker.accept(prefix, item);
-            last = item.key();
-          }
-          if (page.more()) {
-            scan(prefix, last, number, taker, revision -> then.accept(page.revision()));
-          } else {
-            then.accept(page.revision());
-          }
-        });
-  }
-
-  /** Reads which machines other nodes answer in this one's place; null where a record is spoilt. */
-  private void readProxied(Consumer<Set<String>> then) {
-    Set<String> names = new HashSet<>();
-    boolean[] whole = {true};
-    scan(
-        Keys.LEASE_PROXY,
-        "",
-        term.number(),
-        (prefix, item) -> {
-          if (item.record() instanceof Record.ProxiedLeases it) {
-            names.addAll(it.machines());
-          } else {
-            whole[0] = false;
-          }
-        },
-        revision -> then.accept(whole[0] ? names : null));
-  }
-
-  private void restore(String prefix, Reply.Item item) {
-    Record record = item.record();
-    if (record instanceof Record.Unreadable it) {
-      unreadable(item.key(), it);
-    } else if (record instanceof Record.JobSpec spec) {
-      add(spec.job(), item.version());
-    } else if (record instanceof Record.Alloc alloc) {
-      JobEntry entry = jobs.get(Keys.tail(item.key()));
-      if (entry != null) {
-        jobs.restore(entry, alloc, item.version(), fleet);
-      }
-    } else if (record instanceof Record.Aborted aborted) {
-      cancellations.read(aborted.uid());
-    } else if (record instanceof Record.Rent rent) {
-      cloud.restoreRent(rent);
-    } else if (record instanceof Record.Return back) {
-      cloud.restoreReturn(item.key(), back);
-    } else if (record instanceof Record.StoredVersion stored) {
-      version.read(stored, item.version());
-    } else if (record instanceof Record.Types types) {
-      fleet.types(types.types());
-    }
-  }
-
-  /** Follows what other nodes write: submissions and cancellations. */
-  private void follow(String prefix, long number, long revision) {
-    long askedMs = context.nowMs;
-    gate.send(
-        // Short, so that a lost reply does not leave memory behind for long.
-        new StateOp.Watch(prefix, revision, 2 * context.stepMs()),
-        Urgency.SUBMIT,
-        reply -> {
-          if (!still(number)) {
-            return;
-          }
-          if (reply instanceof Reply.Changes changes) {
-            changes.items().forEach(this::changed);
-            if (prefix.equals(Keys.ABORT)) {
-              cancellations.caughtUp(askedMs);
-              // The service forgets old changes; the readBarrier asks after none that came before.
-              readBarrier.start(changes.revision());
-            }
-            follow(prefix, number, changes.revision());
-          } else if (reply instanceof Reply.Refused refused && refused.status() == 410) {
-            scan(
-                prefix,
-                "",
-                number,
-                (p, item) -> changed(item),
-                seen -> follow(prefix, number, seen));
-          } else {
-            again.add(() -> follow(prefix, number, revision));
-          }
-        });
-  }
-
-  /** A job that memory can't hold truly is frozen, and the rest goes on without it. */
-  private void unreadable(String key, Record.Unreadable record) {
-    LOG.error("{} can't be read and is left as it is: {}", key, record.why());
-    if (key.startsWith(Keys.JOB) || key.startsWith(Keys.ALLOC)) {
-      jobs.freeze(Keys.tail(key));
-    }
+  private void rebuilt() {
+    rebuilt = true;
+    users.ready(true);
+    workers.rebuilt();
+    fleet.machines().forEach(workers::reconcile);
   }
 
   private void changed(Reply.Item item) {
-    if (item.record() instanceof Record.Unreadable it) {
-      unreadable(item.key(), it);
-    } else if (item.record() instanceof Record.JobSpec spec) {
-      if (jobs.get(spec.job().uid()) == null) {
-        add(spec.job(), item.version());
-        planner.arrived(spec.job());
-        kick();
-      }
-    } else if (item.record() instanceof Record.Aborted aborted) {
-      cancellations.read(aborted.uid());
-    }
-  }
-
-  /** The two watches run side by side, so a job may come after its own cancellation. */
-  private void add(Job job, long order) {
-    jobs.add(job, order);
-    if (cancellations.contains(job.uid())) {
-      jobs.markAborted(job.uid());
-    }
+    committed.changed(item);
   }
 }
--- /dev/null
+++ b/src/main/java/eiderfork/core/StateReader.java
@@ -0,0 +1,93 @@
+package eiderfork.core;
+
+import eiderfork.model.Record;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+
+/** A leader's reads of whole ranges of keys. One that fails is tried again at the next tick. */
+final class StateReader {
+  private final StateGate gate;
+  private final Term term;
+  private final List<Runnable> again = new ArrayList<>();
+
+  StateReader(StateGate gate, Term term) {
+    this.gate = gate;
+    this.term = term;
+  }
+
+  /** Tries again what has failed. */
+  void tick() {
+    List<Runnable> due = List.copyOf(again);
+    again.clear();
+    due.forEach(Runnable::run);
+  }
+
+  /** Gives up what was to be tried again. */
+  void stop() {
+    again.clear();
+  }
+
+  /** Has something tried at the next tick. */
+  void later(Runnable what) {
+    again.add(what);
+  }
+
+  /** Whether this node still leads this term. */
+  boolean leads(long number) {
+    return term.leading() && term.number() == number;
+  }
+
+  /**
+   * Reads all keys under a prefix, page by page, as often as it takes while this node leads.
+   *
+   * @param taker takes each of them
+   * @param then takes the revision of the last page once all were read
+   */
+  void scan(
+      String prefix, String after, long number, Consumer<Reply.Item> taker, LongConsumer then) {
+    gate.send(
+        new StateOp.Scan(prefix, after),
+        Urgency.START,
+        reply -> {
+          if (!leads(number)) {
+            return;
+          }
+          if (!(reply instanceof Reply.Page page)) {
+            later(() -> scan(prefix, after, number, taker, then));
+            return;
+          }
+          String last = after;
+          for (Reply.Item item : page.items()) {
+            taker.accept(item);
+            last = item.key();
+          }
+          if (page.more()) {
+            scan(prefix, last, number, taker, revision -> then.accept(page.revision()));
+          } else {
+            then.accept(page.revision());
+          }
+        });
+  }
+
+  /** Reads which machines other nodes answer in this one's place; null where a record is spoilt. */
+  void readProxied(Consumer<Set<String>> then) {
+    Set<String> names = new HashSet<>();
+    boolean[] whole = {true};
+    scan(
+        Keys.LEASE_PROXY,
+        "",
+        term.number(),
+        item -> {
+          if (item.record() instanceof Record.ProxiedLeases it) {
+            names.addAll(it.machines());
+          } else {
+            whole[0] = false;
+          }
+        },
+        revision -> then.accept(whole[0] ? names : null));
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/core/StoredJobs.java
@@ -0,0 +1,86 @@
+package eiderfork.core;
+
+import eiderfork.model.Job;
+import eiderfork.model.JobStatus;
+import eiderfork.model.Record;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Reads jobs and what became of them from the state service. */
+final class StoredJobs {
+  private final StateGate gate;
+
+  StoredJobs(StateGate gate) {
+    this.gate = gate;
+  }
+
+  /** Reads a job's state: null where the service did not say, empty for no such job. */
+  void status(String uid, Urgency urgency, Consumer<Optional<JobStatus>> then) {
+    gate.send(
+        new StateOp.Get(Keys.job(uid)),
+        urgency,
+        reply -> {
+          if (!(reply instanceof Reply.Value spec) || spec.record() instanceof Record.Unreadable) {
+            then.accept(null);
+          } else if (!(spec.record() instanceof Record.JobSpec it)) {
+            then.accept(Optional.empty());
+          } else {
+            alloc(
+                it.job(),
+                urgency,
+                (alloc, version) ->
+                    aborted(
+                        uid,
+                        urgency,
+                        aborted -> {
+                          if (alloc == null || aborted == null) {
+                            then.accept(null);
+                          } else {
+                            then.accept(Optional.of(status(it.job(), alloc, aborted)));
+                          }
+                        }));
+          }
+        });
+  }
+
+  /** A job's state by its records. */
+  static JobStatus status(Job job, Record.Alloc alloc, boolean aborted) {
+    int reserved = 0;
+    for (Record.Span span : alloc.reserved()) {
+      reserved += span.to() - span.from() + 1;
+    }
+    if (aborted) {
+      return new JobStatus(job.uid(), JobStatus.Stance.ABORTED, JobEntry.committedDone(alloc), 0);
+    }
+    return JobEntry.status(job, alloc, reserved);
+  }
+
+  /** Takes a job's alloc record and its version; null where the service did not say. */
+  interface AllocTaker {
+    void take(Record.Alloc alloc, long version);
+  }
+
+  /** Reads the alloc record of a job, the empty one where there is none. */
+  void alloc(Job job, Urgency urgency, AllocTaker then) {
+    gate.send(
+        new StateOp.Get(Keys.alloc(job.uid())),
+        urgency,
+        reply -> {
+          if (!(reply instanceof Reply.Value value)
+              || value.record() instanceof Record.Unreadable) {
+            then.take(null, 0);
+          } else if (value.record() instanceof Record.Alloc alloc) {
+            then.take(alloc, value.version());
+          } else {
+            then.take(Record.Alloc.EMPTY, 0);
+          }
+        });
+  }
+
+  private void aborted(String uid, Urgency urgency, Consumer<Boolean> then) {
+    gate.send(
+        new StateOp.Get(Keys.abort(uid)),
+        urgency,
+        reply -> then.accept(reply instanceof Reply.Value value ? value.record() != null : null));
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/core/Submissions.java
@@ -0,0 +1,209 @@
+package eiderfork.core;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.JobStatus;
+import eiderfork.model.MachineType;
+import eiderfork.model.Record;
+import eiderfork.model.Resources;
+import eiderfork.model.Team;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
+
+/** Judges submissions and writes those that can run; each job is stored once, by whatever node. */
+final class Submissions {
+  /** When to come back with a job that waits for the last node to be upgraded. */
+  private static final int VERSION_RETRY_S = 2;
+
+  private final Context context;
+  private final StateGate gate;
+  private final Fleet fleet;
+  private final ClusterVersion version;
+  private final StoredJobs storedJobs;
+  private final WaitLimit waitLimit;
+  private final ObjLongConsumer<Job> accepted;
+
+  /** Submissions whose write is under way, with those that wait for its end. */
+  private final Map<String, List<Consumer<UserAnswer>>> submitting = new HashMap<>();
+
+  private ImmutableMap<String, MachineType> storedTypes = ImmutableMap.of();
+
+  /**
+   * @param accepted takes each job that was stored from here, with the revision of that
+   */
+  Submissions(
+      Context context,
+      StateGate gate,
+      Fleet fleet,
+      ClusterVersion version,
+      StoredJobs storedJobs,
+      WaitLimit waitLimit,
+      ObjLongConsumer<Job> accepted) {
+    this.context = context;
+    this.gate = gate;
+    this.fleet = fleet;
+    this.version = version;
+    this.storedJobs = storedJobs;
+    this.waitLimit = waitLimit;
+    this.accepted = accepted;
+  }
+
+  /** Whether a job has to wait until every node runs the version that can carry it out. */
+  boolean waitForVersion(Job job) {
+    return job.kind() == JobKind.GANG && !version.isCurrent();
+  }
+
+  /** Takes a submission where memory does not hold all that is committed. */
+  void submitUnknown(Job job, Consumer<UserAnswer> answer) {
+    // A known job is never judged again, so it is looked up first; not behind the polls, which
+    // once held submissions up for seconds at nodes that could not reach the leader.
+    storedJobs.status(
+        job.uid(),
+        Urgency.SUBMIT,
+        status -> {
+          if (status == null) {
+            answer.accept(UserAnswer.unavailable());
+          } else if (status.isPresent()) {
+            answer.accept(UserAnswer.ok(status.get()));
+          } else if (types().isEmpty()) {
+            loadTypes(() -> submitNew(job, answer));
+          } else {
+            submitNew(job, answer);
+          }
+        });
+  }
+
+  private ImmutableMap<String, MachineType> types() {
+    return fleet.types().isEmpty() ? storedTypes : fleet.types();
+  }
+
+  private void loadTypes(Runnable then) {
+    gate.send(
+        new StateOp.Get(Keys.TYPES),
+        Urgency.SUBMIT,
+        reply -> {
+          if (reply instanceof Reply.Value value && value.record() instanceof Record.Types it) {
+            ImmutableMap.Builder<String, MachineType> builder = ImmutableMap.builder();
+            it.types().forEach(type -> builder.put(type.name(), type));
+            storedTypes = builder.buildKeepingLast();
+          }
+          then.run();
+        });
+  }
+
+  /** Takes a submission of a job that is not known here. */
+  void submitNew(Job job, Consumer<UserAnswer> answer) {
+    if (waitForVersion(job)) {
+      version.load(() -> submitIfCurrent(job, answer));
+    } else {
+      submitAllowed(job, answer);
+    }
+  }
+
+  private void submitIfCurrent(Job job, Consumer<UserAnswer> answer) {
+    if (waitForVersion(job)) {
+      answer.accept(UserAnswer.later(VERSION_RETRY_S, "not every node runs the new version yet"));
+    } else {
+      submitAllowed(job, answer);
+    }
+  }
+
+  private void submitAllowed(Job job, Consumer<UserAnswer> answer) {
+    if (types().isEmpty()) {
+      answer.accept(UserAnswer.later(2, "the machine types are not known yet"));
+      return;
+    }
+    String error = impossible(job);
+    if (error != null) {
+      // Memory may lag behind a peer that took this job; only an unknown job may be refused.
+      storedJobs.status(
+          job.uid(),
+          Urgency.SUBMIT,
+          status -> {
+            if (status == null) {
+              answer.accept(UserAnswer.unavailable());
+            } else if (status.isPresent()) {
+              answer.accept(UserAnswer.ok(status.get()));
+            } else {
+              answer.accept(UserAnswer.refused(422, error));
+            }
+          });
+      return;
+    }
+    List<Consumer<UserAnswer>> waiting = submitting.get(job.uid());
+    if (waiting != null) {
+      waiting.add(answer);
+      return;
+    }
+    if (waitLimit.refuses(gate.waitMs(Urgency.SUBMIT), answer)) {
+      return;
+    }
+    waiting = new ArrayList<>();
+    waiting.add(answer);
+    submitting.put(job.uid(), waiting);
+    gate.send(
+        new StateOp.Transact(
+            ImmutableList.of(new StateOp.Condition(Keys.job(job.uid()), 0)),
+            ImmutableList.of(StateOp.Change.put(Keys.job(job.uid()), new Record.JobSpec(job)))),
+        Urgency.SUBMIT,
+        reply -> submitted(job, reply));
+  }
+
+  private void submitted(Job job, Reply reply) {
+    List<Consumer<UserAnswer>> waiting = submitting.remove(job.uid());
+    if (reply instanceof Reply.Committed committed) {
+      accepted.accept(job, committed.revision());
+      JobStatus status = JobEntry.status(job, Record.Alloc.EMPTY, 0);
+      waiting.get(0).accept(UserAnswer.created(status));
+      waiting.stream().skip(1).forEach(each -> each.accept(UserAnswer.ok(status)));
+    } else if (reply instanceof Reply.Conflict) {
+      answerAsStored(job.uid(), UserAnswer.unavailable(), waiting);
+    } else if (reply instanceof Reply.Refused refused && refused.isMalformed()) {
+      // A peer may have stored it before the service's limits fell.
+      UserAnswer never = UserAnswer.refused(400, "larger than what can be stored");
+      answerAsStored(job.uid(), never, waiting);
+    } else {
+      // It may be written yet; the user's own repeat finds out.
+      waiting.forEach(each -> each.accept(UserAnswer.unavailable()));
+    }
+  }
+
+  /** Answers with the job as it is stored, or with {@code otherwise} where it is not. */
+  private void answerAsStored(
+      String uid, UserAnswer otherwise, List<Consumer<UserAnswer>> waiting) {
+    storedJobs.status(
+        uid,
+        Urgency.SUBMIT,
+        status -> {
+          UserAnswer said =
+              status == null
+                  ? UserAnswer.unavailable()
+                  : status.map(UserAnswer::ok).orElse(otherwise);
+          waiting.forEach(each -> each.accept(said));
+        });
+  }
+
+  /** Why a job can never run, or null. */
+  private String impossible(Job job) {
+    Team team = context.settings.teams().get(job.team());
+    if (team == null) {
+      return "unknown team " + job.team();
+    }
+    boolean fits = false;
+    for (MachineType type : types().values()) {
+      boolean zone = job.zone() == null || type.zones().contains(job.zone());
+      fits |= job.allowsType(type.name()) && zone && job.need().fitsIn(type.room());
+    }
+    if (!fits) {
+      return "a task fits no allowed machine type";
+    }
+    Resources least = job.kind() == JobKind.ARRAY ? job.need() : job.need().times(job.tasks());
+    return team.withinLimit(least) ? null : "more than the limit of team " + job.team();
+  }
+}
--- a/src/main/java/eiderfork/core/UserAnswer.java
+++ b/src/main/java/eiderfork/core/UserAnswer.java
@@ -24,4 +24,9 @@
   static UserAnswer later(int seconds, String error) {
     return new UserAnswer(503, null, seconds, error);
   }
+
+  /** The answer where it is not known whether anything was done. */
+  static UserAnswer unavailable() {
+    return later(1, "the state service can't be reached");
+  }
 }
