--- /dev/null
+++ b/src/test/java/eiderfork/core/ClusterVersionTest.java
@@ -0,0 +1,51 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderfork.model.Record;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** When all members are known to run the current version. */
+class ClusterVersionTest {
+  private final Context context = new Context(Samples.settings("roost-0"), new Random(1), 0);
+  private final StateGate gate = new StateGate(context);
+  private final ClusterVersion version =
+      new ClusterVersion(context, gate, new Term(context, gate, null));
+
+  private void allAnswer() {
+    version.answered("roost-1", ClusterVersion.CURRENT);
+    version.answered("roost-2", ClusterVersion.CURRENT);
+  }
+
+  @Test
+  void everyPeerHasToAnswerThatItIsNew() {
+    version.answered("roost-1", ClusterVersion.CURRENT);
+    assertFalse(version.isCurrent());
+    version.answered("roost-2", ClusterVersion.FIRST);
+    assertFalse(version.isCurrent());
+    allAnswer();
+    assertTrue(version.isCurrent());
+  }
+
+  /** A held-up ping of a process that was taken back to the older version meanwhile. */
+  @Test
+  void whatAPeerSaysUnaskedMayBeOldAndProvesNothing() {
+    version.heard("roost-1", ClusterVersion.CURRENT);
+    version.heard("roost-2", ClusterVersion.CURRENT);
+    assertFalse(version.isCurrent());
+    allAnswer();
+    version.heard("roost-2", ClusterVersion.FIRST);
+    assertFalse(version.isCurrent(), "it is back at the older version");
+  }
+
+  @Test
+  void whatIsStoredHoldsWhateverPeersSay() {
+    version.read(new Record.StoredVersion(ClusterVersion.CURRENT), 5);
+    version.heard("roost-1", ClusterVersion.FIRST);
+    assertTrue(version.isCurrent());
+    version.read(new Record.StoredVersion(ClusterVersion.FIRST), 4);
+    assertTrue(version.isCurrent());
+  }
+}
--- a/src/test/java/eiderfork/core/GangTest.java
+++ b/src/test/java/eiderfork/core/GangTest.java
@@ -267,13 +267,32 @@
     world.submit(large);
     world.run(5);
     assertEquals(before, world.checker.running(array.uid()), "nothing is stopped for a part");
-    world.abort(large.uid());
-    world.run(2);
+    // What the large gang could not get is no proof for a smaller one behind it.
     Job gang = submit(Samples.gang(3, 7, 1, 4, true));
     world.run(12);
     assertTrue(world.checker.isDone(gang.uid()));
   }
 
+  /** A gang that might have been stopped for a part of another goes on. */
+  @Test
+  void noGangIsStoppedForAPartOfAnother() {
+    world.cloud.capacity = 0;
+    world.cloud.stock.put(new Cloud.Kind("c8", "a", false), 2);
+    world.run(5);
+    Job low = Samples.gang(1, 4, 4, 25, true);
+    submit(Samples.withPriority(low, Priority.LOW));
+    world.run(20);
+    assertEquals(1, world.gangs.starts);
+    Job large = Samples.gang(2, 17, 1, 4, true);
+    world.submit(large);
+    world.run(12);
+    assertEquals(0, world.gangs.saves);
+    assertEquals(4, world.checker.running(low.uid()));
+    world.abort(large.uid());
+    allServed();
+    assertEquals(1, world.gangs.starts);
+  }
+
   /** A gang is stopped whole for what is more urgent, and goes on from what it saved. */
   @ParameterizedTest
   @ValueSource(ints = {-1, 0, 150, 400, 900, 1600})
--- a/src/test/java/eiderfork/core/Samples.java
+++ b/src/test/java/eiderfork/core/Samples.java
@@ -124,6 +124,28 @@
         like.deadlineS());
   }
 
+  static Job withPriority(Job like, Priority priority) {
+    return new Job(
+        like.uid(),
+        like.jobClass(),
+        like.team(),
+        like.kind(),
+        priority,
+        like.tasks(),
+        like.need(),
+        like.types(),
+        like.zone(),
+        like.oneZone(),
+        like.spread(),
+        like.spot(),
+        like.image(),
+        like.imageGb(),
+        like.estimateS(),
+        like.checkpointS(),
+        like.saveS(),
+        like.deadlineS());
+  }
+
   /** A gang that saves every 2 s of its work, and takes 1 s to save when it is stopped. */
   static Job gang(int number, int tasks, double cpus, double runS, boolean oneZone) {
     return gang(number, tasks, cpus, runS, oneZone, "blue", false);
