--- a/src/main/java/eiderfork/core/CommittedState.java
+++ b/src/main/java/eiderfork/core/CommittedState.java
@@ -109,9 +109,9 @@
     } else if (record instanceof Record.Aborted aborted) {
       cancellations.read(aborted.uid());
     } else if (record instanceof Record.Rent rent) {
-      cloud.restoreRent(rent);
+      cloud.rents().restore(rent);
     } else if (record instanceof Record.Return back) {
-      cloud.restoreReturn(item.key(), back);
+      cloud.returns().restore(item.key(), back);
     } else if (record instanceof Record.StoredVersion stored) {
       version.read(stored, item.version());
     } else if (record instanceof Record.Types types) {
--- a/src/main/java/eiderfork/core/Packing.java
+++ b/src/main/java/eiderfork/core/Packing.java
@@ -147,7 +147,7 @@
   }
 
   private boolean mayRent(Cloud.Kind kind) {
-    return (!kind.spot() || context.settings.operator().spot()) && cloud.inStock(kind);
+    return (!kind.spot() || context.settings.operator().spot()) && cloud.rents().inStock(kind);
   }
 
   /** The price of one task on a full machine; a fetch slower than the job can wait costs more. */
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -199,7 +199,7 @@
         bins.add(new Bin(m, kind, m.room, m.free()));
       }
     }
-    for (Record.Rent open : cloud.openRents()) {
+    for (Record.Rent open : cloud.rents().openRents()) {
       MachineType type = fleet.types().get(open.type());
       if (type != null) {
         Cloud.Kind kind = new Cloud.Kind(open.type(), open.zone(), open.spot());
@@ -301,12 +301,12 @@
   private void rent(List<Bin> wanted) {
     // Demand that grows while rents wait for their turn at the cloud is put into the next ones:
     // many small rents once took 25 s to ask for what a dozen larger ones bring.
-    if (!cloud.listed() || cloud.rentsWait()) {
+    if (!cloud.listed() || cloud.rents().rentsWait()) {
       return;
     }
     Map<Cloud.Kind, Integer> counts = new LinkedHashMap<>();
     wanted.forEach(bin -> counts.merge(bin.kind, 1, Integer::sum));
-    counts.forEach((kind, count) -> cloud.rent(kind, Math.min(count, RENT_MOST)));
+    counts.forEach((kind, count) -> cloud.rents().rent(kind, Math.min(count, RENT_MOST)));
   }
 
   private void giveBack(List<Bin> bins) {
@@ -330,29 +330,29 @@
       double bootMs = type == null ? 0 : type.bootS() * 1000;
       long ageMs = context.nowMs - m.sinceMs;
       if (m.faulty) {
-        cloud.giveBack(m, "faulty");
+        cloud.returns().giveBack(m, "faulty");
       } else if (m.report == null) {
         if (type != null && overdue(m, type, FAILED_BOOT)) {
-          cloud.giveBackSilent(m, "it does not come up");
+          cloud.returns().giveBackSilent(m, "it does not come up");
         }
       } else if (believe
           && !lapses.proxied(m)
           && liveness.silentForMs(m) > SILENCE_LEASES * context.leaseMs() + bootMs) {
-        cloud.giveBackSilent(m, "it is silent");
+        cloud.returns().giveBackSilent(m, "it is silent");
       } else if (believe && liveness.heard(m) && liveness.deaf(m) && deafTooLong(m)) {
-        cloud.giveBack(m, "commands do not reach it");
+        cloud.returns().giveBack(m, "commands do not reach it");
       } else if (m.placed.isEmpty() && m.tasks().isEmpty()) {
         Bin bin = packed.get(m);
         boolean needed = bin != null && !bin.left.equals(m.room);
         if (m.draining) {
-          cloud.giveBack(m, "drained");
+          cloud.returns().giveBack(m, "drained");
         } else if (needed) {
           m.idleSinceMs = 0;
         } else if (m.idleSinceMs == 0) {
           m.idleSinceMs = context.nowMs;
         } else if (context.nowMs - m.idleSinceMs > bootMs * context.settings.operator().idleShare()
             && ageMs > MIN_CHARGE_MS) {
-          cloud.giveBack(m, "idle");
+          cloud.returns().giveBack(m, "idle");
         }
       } else {
         m.idleSinceMs = 0;
--- a/src/main/java/eiderfork/wire/PackedAllocs.java
+++ b/src/main/java/eiderfork/wire/PackedAllocs.java
@@ -17,8 +17,7 @@
 
 /**
  * The packed form of an alloc record: an Avro record of columns as Base64, which {@code
- * PackedAllocSize} bounds. Machines that were rented one after the other and tasks in a row take
- * about five bytes each.
+ * PackedAllocSize} bounds. Columns take about half of what the plain form takes.
  */
 final class PackedAllocs {
   /** The field that tells this form from the others. */
--- a/src/test/java/eiderfork/wire/PackedAllocsTest.java
+++ b/src/test/java/eiderfork/wire/PackedAllocsTest.java
@@ -38,7 +38,7 @@
     assertEquals(alloc, Records.record("alloc/run-1", PackedAllocs.node(alloc)));
   }
 
-  /** What production may have left in 4 KiB takes less than half of 2 KiB here. */
+  /** What production may have left in 4 KiB fits 2 KiB with room to spare. */
   @Test
   void aHundredAndEightyTasksOnMachinesOfTheirOwnTakeLittle() {
     ImmutableList.Builder<Record.Span> spans = ImmutableList.builder();
