--- a/src/test/java/eiderfork/core/GangTest.java
+++ b/src/test/java/eiderfork/core/GangTest.java
@@ -279,7 +279,7 @@
     world.cloud.capacity = 0;
     world.cloud.stock.put(new Cloud.Kind("c8", "a", false), 2);
     world.run(5);
-    Job low = Samples.gang(1, 4, 4, 25, true);
+    Job low = Samples.gang(1, 4, 4, 60, true);
     submit(Samples.withPriority(low, Priority.LOW));
     world.run(20);
     assertEquals(1, world.gangs.starts);
