--- a/src/test/java/eiderfork/core/UpgradeTest.java
+++ b/src/test/java/eiderfork/core/UpgradeTest.java
@@ -105,6 +105,10 @@
     assertEquals(new Record.StoredVersion(2), world.state.stored(Keys.VERSION));
     world.all().forEach(node -> world.crash(node, node.equals("roost-1") ? 500 : 60_000));
     world.run(8);
+    Job array = Samples.job(2, JobKind.ARRAY, 2, 0);
+    world.submitAt("roost-1", array);
+    world.run(12);
+    assertInstanceOf(Record.PackedAlloc.class, world.state.stored(Keys.alloc(array.uid())));
     Job gang = Samples.gang(1, 3, 1, 4, true);
     world.submitAt("roost-1", gang);
     world.run(30);
