--- a/src/main/java/eiderfork/cli/Commands.java
+++ b/src/main/java/eiderfork/cli/Commands.java
@@ -32,6 +32,7 @@
     line.addSubcommand(new Serve());
     line.addSubcommand(new Check());
     line.addSubcommand(new TrainingCommand());
+    line.addSubcommand(new ScaleCommand());
     line.setExecutionExceptionHandler(
         (e, parsed, result) -> {
           parsed.getErr().println(Main.complaint(e));
--- /dev/null
+++ b/src/main/java/eiderfork/cli/ScaleCommand.java
@@ -0,0 +1,55 @@
+package eiderfork.cli;
+
+import eiderfork.scale.ScaleRun;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Plays a scale run on loopback. */
+@Command(
+    name = "scale",
+    description = "Plays a scale run: real controllers among emulated services and workers.")
+final class ScaleCommand implements Callable<Integer> {
+  private static final int FAILED = 1;
+
+  @Parameters(paramLabel = "FILE", description = "The run's file (TOML).")
+  private Path file;
+
+  @Option(
+      names = "--report",
+      paramLabel = "OUT",
+      description = "Where the summary goes as JSON; its text goes beside it as OUT.txt.")
+  private Path report;
+
+  @Option(
+      names = "--deploy",
+      paramLabel = "FILE",
+      defaultValue = "deploy/service.toml",
+      description = "Says how controllers are started (default: ${DEFAULT-VALUE}).")
+  private Path deploy;
+
+  @Option(
+      names = "--logs",
+      paramLabel = "DIR",
+      description = "Keeps the controllers' settings and logs there.")
+  private Path logs;
+
+  @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
+
+  @Override
+  public Integer call() throws Exception {
+    boolean terminal = System.console() != null;
+    ScaleRun.Outcome outcome = ScaleRun.play(file, deploy, logs, terminal ? System.err : null);
+    spec.commandLine().getOut().print(outcome.text());
+    spec.commandLine().getOut().flush();
+    if (report != null) {
+      Files.writeString(report, outcome.json());
+      Files.writeString(Path.of(report + ".txt"), outcome.text());
+    }
+    return outcome.good() ? 0 : FAILED;
+  }
+}
--- a/src/main/java/eiderfork/net/HttpClient.java
+++ b/src/main/java/eiderfork/net/HttpClient.java
@@ -29,9 +29,10 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** Sends HTTP requests, on kept connections where there are any. All on one event loop. */
-final class HttpClient {
+public final class HttpClient {
   /** The largest response taken; a page of the state service holds half a mebibyte of values. */
   private static final int MOST_BODY = 8 * 1024 * 1024;
 
@@ -42,7 +43,8 @@
   private static final long KEPT_MS = 20_000;
 
   /** Takes a response; status 0 is none in time or at all. */
-  interface Taker {
+  public interface Taker {
+    /** Takes the response. */
     void take(int status, byte[] body);
   }
 
@@ -57,8 +59,17 @@
 
   private final int mostKept;
 
-  /** A client that keeps up to {@code mostKept} connections open while they are not in use. */
-  HttpClient(EventLoop loop, int mostKept) {
+  /**
+   * Makes a client that keeps up to {@code mostKept} connections open while they are not in use.
+   */
+  public HttpClient(EventLoop loop, int mostKept) {
+    this(loop, mostKept, channel -> {});
+  }
+
+  /**
+   * Makes a client whose connections are shown to {@code opened} before anything is sent on them.
+   */
+  public HttpClient(EventLoop loop, int mostKept, Consumer<Channel> opened) {
     this.loop = loop;
     this.mostKept = mostKept;
     bootstrap =
@@ -70,6 +81,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
+                    opened.accept(channel);
                     channel
                         .pipeline()
                         .addLast(new HttpClientCodec())
@@ -79,7 +91,9 @@
                 });
   }
 
-  void send(Endpoint to, String method, String path, byte[] body, long timeoutMs, Taker taker) {
+  /** Sends a request, which has {@code timeoutMs} until its response is given up. */
+  public void send(
+      Endpoint to, String method, String path, byte[] body, long timeoutMs, Taker taker) {
     Call call = new Call(to, taker);
     call.timeout = loop.schedule(call::timedOut, timeoutMs, TimeUnit.MILLISECONDS);
     Channel channel = takeKept(to);
@@ -138,7 +152,7 @@
   }
 
   /** Closes connections that nothing has used for a while. */
-  void sweep() {
+  public void sweep() {
     long nowMs = System.nanoTime() / 1_000_000;
     while (!oldest.isEmpty() && nowMs - oldest.iterator().next().sinceMs > KEPT_MS) {
       close(oldest.iterator().next());
--- a/src/main/java/eiderfork/net/HttpServer.java
+++ b/src/main/java/eiderfork/net/HttpServer.java
@@ -26,17 +26,17 @@
 import org.slf4j.LoggerFactory;
 
 /** Serves HTTP on one address. */
-final class HttpServer {
+public final class HttpServer {
   private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
 
   /** The protocol's limit on a request body. */
   private static final int MOST_BODY = 64 * 1024;
 
   /** A request and the way back. */
-  static final class Exchange {
-    final String method;
-    final String path;
-    final byte[] body;
+  public static final class Exchange {
+    public final String method;
+    public final String path;
+    public final byte[] body;
     private final ChannelHandlerContext context;
     private final boolean keepAlive;
 
@@ -48,7 +48,8 @@
       keepAlive = HttpUtil.isKeepAlive(request);
     }
 
-    void answer(int status, byte[] answer, int retryAfterS) {
+    /** Answers the request; {@code retryAfterS} 0 is none. */
+    public void answer(int status, byte[] answer, int retryAfterS) {
       HttpServer.answer(context, status, answer, retryAfterS, keepAlive);
     }
   }
@@ -57,15 +58,18 @@
   private final int backlog;
 
   /**
+   * Makes a server that hands each request to {@code taker}.
+   *
    * @param backlog how many connections may wait to be accepted: every worker and user may turn to
    *     this node in the same moment
    */
-  HttpServer(Consumer<Exchange> taker, int backlog) {
+  public HttpServer(Consumer<Exchange> taker, int backlog) {
     this.taker = taker;
     this.backlog = backlog;
   }
 
-  Channel listen(EventLoopGroup group, Endpoint endpoint) throws InterruptedException {
+  /** Listens on the endpoint, any free port for port 0; not to be called on the group's loop. */
+  public Channel listen(EventLoopGroup group, Endpoint endpoint) throws InterruptedException {
     return new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
--- /dev/null
+++ b/src/main/java/eiderfork/scale/Cell.java
@@ -0,0 +1,426 @@
+package eiderfork.scale;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import eiderfork.config.Settings.Endpoint;
+import eiderfork.model.Attempt;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Machine;
+import eiderfork.model.MachineType;
+import eiderfork.model.Resources;
+import eiderfork.model.TaskId;
+import eiderfork.model.Team;
+import eiderfork.net.HttpServer;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * A region: its controllers' processes, and on one thread its emulated state service, cloud,
+ * workers and users. Fields without a word on it belong to that thread.
+ */
+final class Cell implements EmulatedCloud.Machines {
+  private static final int BACKLOG = 4096;
+  private static final long TICK_MS = 50;
+  private static final long SECOND_MS = 1000;
+
+  /** Addresses beyond the workers' number, for machines that replace others. */
+  private static final double SPARE_ADDRESSES = 0.3;
+
+  /** A team's limit and guarantee, as multiples of an equal share of the cell. */
+  private static final double LIMIT_SHARES = 2;
+
+  private static final double GUARANTEE_SHARES = 0.5;
+
+  /** Services younger than this are not counted as missing. */
+  private static final long YOUNG_MS = 15_000;
+
+  /** Start times up to this many milliseconds are told apart. */
+  private static final long MOST_MS = 3_600_000;
+
+  private static final int SEQUENCE_BITS = 24;
+
+  private static final String LOOPBACK = "127.0.0.1";
+
+  /** A service that should stand, and how many of its replicas do. */
+  private static final class Standing {
+    final Job job;
+    final long sinceMs = Clock.nowMs();
+    int running;
+
+    Standing(Job job) {
+      this.job = job;
+    }
+  }
+
+  final int number;
+  final EventLoop loop;
+  final UniformRandomProvider random;
+  final CellCounters counters = new CellCounters();
+  final Catalogue catalogue = new Catalogue();
+  final SafetyChecker checker;
+  final ByteCounter workerBytes = new ByteCounter(counters);
+  final Histogram startMs = new Histogram(MOST_MS, 3);
+  final Histogram urgentStartMs = new Histogram(MOST_MS, 3);
+  final Histogram rampStartMs = new Histogram(MOST_MS, 3);
+  final Histogram acceptMs = new Histogram(MOST_MS, 3);
+
+  /** By how much the cell's own ticks come late. */
+  final Histogram lagMs = new Histogram(MOST_MS, 3);
+
+  final List<RecoveryTimer> recoveries = new ArrayList<>();
+
+  private final ScaleSettings settings;
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final List<ControllerProcess> controllers = new ArrayList<>();
+  private final Map<String, Integer> controllerIndex = new HashMap<>();
+  private final EmulatedState state;
+  private final EmulatedCloud cloud;
+  private final EmulatedUsers users;
+  private final ImmutableMap<String, Team> teams;
+  private final Map<String, HollowWorker> workers = new LinkedHashMap<>();
+  private final Map<String, HollowWorker> byAddress = new HashMap<>();
+  private final Deque<String> freeAddresses = new ArrayDeque<>();
+  private final Map<String, Standing> standing = new HashMap<>();
+  private final Map<String, BitSet> everStarted = new HashMap<>();
+  private final Set<String> liveJobs = new HashSet<>();
+  private int runningTasks;
+  private int lastRack;
+  private long newestToken;
+  private long loadBeganMs = Long.MAX_VALUE;
+  private long lastTickMs;
+
+  Cell(ScaleSettings settings, int number) {
+    this.settings = settings;
+    this.number = number;
+    loop = group.next();
+    random = RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed() * 1000 + number);
+    teams = teams(settings);
+    checker = new SafetyChecker((long) (1000 * settings.workers().cancelS()), teams);
+    state = new EmulatedState(settings.state(), loop, random, counters);
+    cloud = new EmulatedCloud(settings, types(settings), loop, random, counters, this);
+    users = new EmulatedUsers(this, settings);
+  }
+
+  private String zone(int index) {
+    return "region-" + number + "-zone-" + index;
+  }
+
+  private ImmutableList<MachineType> types(ScaleSettings run) {
+    ImmutableList.Builder<String> zones = ImmutableList.builder();
+    for (int i = 0; i < run.cells().zones(); i++) {
+      zones.add(zone(i));
+    }
+    ImmutableList.Builder<MachineType> types = ImmutableList.builder();
+    for (ScaleSettings.MachineKind it : run.machineTypes()) {
+      types.add(
+          new MachineType(
+              it.name(),
+              new Resources(it.cpus(), it.gpus(), it.ramGb()),
+              it.cacheGb(),
+              it.fetchGbPerS(),
+              it.price(),
+              it.price(),
+              it.bootS(),
+              zones.build()));
+    }
+    return types.build();
+  }
+
+  private static ImmutableMap<String, Team> teams(ScaleSettings run) {
+    double cpus = 0;
+    double gpus = 0;
+    for (ScaleSettings.MachineKind it : run.machineTypes()) {
+      cpus += it.cpus() * it.share() * run.cells().workers();
+      gpus += it.gpus() * it.share() * run.cells().workers();
+    }
+    double cpuShare = Math.ceil(cpus / run.cells().teams());
+    double gpuShare = Math.ceil(gpus / run.cells().teams());
+    ImmutableMap.Builder<String, Team> teams = ImmutableMap.builder();
+    for (int i = 0; i < run.cells().teams(); i++) {
+      String name = "team-" + i;
+      teams.put(
+          name,
+          new Team(
+              name,
+              cpuShare * GUARANTEE_SHARES,
+              cpuShare * LIMIT_SHARES,
+              gpuShare * GUARANTEE_SHARES,
+              gpuShare * LIMIT_SHARES));
+    }
+    return teams.buildOrThrow();
+  }
+
+  // From the run's own thread.
+
+  /** Opens the services' addresses and makes the controllers, without starting them. */
+  void prepare(Path directory, List<String> command, FreePorts ports)
+      throws IOException, InterruptedException {
+    Endpoint any = new Endpoint(LOOPBACK, 0);
+    Endpoint stateAddress = address(new HttpServer(state::handle, BACKLOG).listen(group, any));
+    Endpoint cloudAddress = address(new HttpServer(cloud::handle, BACKLOG).listen(group, any));
+    int addresses = (int) Math.ceil(settings.cells().workers() * (1 + SPARE_ADDRESSES)) + 1;
+    for (int i = 0; i < addresses; i++) {
+      listenForWorker(any);
+    }
+    List<ControllerSettings.Member> members = new ArrayList<>();
+    for (int i = 0; i < settings.cells().controllers(); i++) {
+      String zone = zone(i % settings.cells().zones());
+      members.add(
+          new ControllerSettings.Member(
+              "region-" + number + "-controller-" + i, zone, ports.next(), ports.next()));
+    }
+    for (int i = 0; i < members.size(); i++) {
+      ControllerSettings.Member member = members.get(i);
+      String text =
+          ControllerSettings.of(settings, members, i, stateAddress, cloudAddress, teams.values());
+      controllers.add(
+          new ControllerProcess(
+              member.name(), member.zone(), member.publicAddress(), directory, command, text));
+      controllerIndex.put(member.name(), i);
+    }
+    PreloadedJobs.store(state, settings.preloadedEndedJobs(), random);
+  }
+
+  private void listenForWorker(Endpoint any) throws InterruptedException {
+    String[] address = new String[1];
+    HttpServer server =
+        new HttpServer(
+            exchange -> {
+              HollowWorker worker = byAddress.get(address[0]);
+              if (worker != null) {
+                worker.handle(exchange);
+              }
+            },
+            BACKLOG);
+    address[0] = address(server.listen(group, any)).toString();
+    freeAddresses.add(address[0]);
+  }
+
+  private static Endpoint address(Channel channel) {
+    return new Endpoint(LOOPBACK, ((InetSocketAddress) channel.localAddress()).getPort());
+  }
+
+  /** Begins to offer load. */
+  void begin() {
+    loop.execute(() -> loadBeganMs = Clock.nowMs());
+    loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(this::second, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
+  }
+
+  void close() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  List<ControllerProcess> controllers() {
+    return controllers;
+  }
+
+  // On the cell's thread.
+
+  private void tick() {
+    users.tick((Clock.nowMs() - loadBeganMs) / 1000.0);
+    state.tick();
+    long nowMs = Clock.nowMs();
+    if (lastTickMs > 0) {
+      lagMs.recordValue(Math.max(0, nowMs - lastTickMs - TICK_MS));
+    }
+    lastTickMs = nowMs;
+    workers.values().forEach(worker -> worker.checkLease(nowMs));
+    recoveries.forEach(timer -> timer.tick(nowMs, missingReplicas()));
+  }
+
+  private void second() {
+    users.probeAll();
+    checker.tick(Clock.nowMs());
+  }
+
+  /** Which controller most workers report to. */
+  int leader() {
+    int[] votes = new int[controllers.size()];
+    int most = 0;
+    for (HollowWorker worker : workers.values()) {
+      votes[worker.node()]++;
+      most = votes[worker.node()] > votes[most] ? worker.node() : most;
+    }
+    return most;
+  }
+
+  int controllerIndex(String name) {
+    return name == null ? -1 : controllerIndex.getOrDefault(name, -1);
+  }
+
+  long leaseMs() {
+    return (long) (1000 * settings.workers().leaseS());
+  }
+
+  long reportMs() {
+    return (long) (1000 * settings.workers().reportS());
+  }
+
+  int workerCount() {
+    return workers.size();
+  }
+
+  int runningTaskCount() {
+    return runningTasks;
+  }
+
+  int liveJobCount() {
+    return liveJobs.size();
+  }
+
+  int stateKeyCount() {
+    return state.keyCount();
+  }
+
+  /** Replicas of services that should stand for a while already and don't. */
+  int missingReplicas() {
+    long nowMs = Clock.nowMs();
+    int missing = 0;
+    for (Standing it : standing.values()) {
+      if (nowMs - it.sinceMs > YOUNG_MS) {
+        missing += it.job.tasks() - it.running;
+      }
+    }
+    return missing;
+  }
+
+  /** Begins to measure how long a trouble is felt. */
+  void troubleBegins(ScaleSettings.Trouble trouble) {
+    recoveries.forEach(RecoveryTimer::stop);
+    recoveries.add(new RecoveryTimer(trouble, term(), missingReplicas(), Clock.nowMs()));
+  }
+
+  private long term() {
+    return newestToken >> SEQUENCE_BITS;
+  }
+
+  void cutRack(boolean cut) {
+    for (HollowWorker worker : workers.values()) {
+      if (worker.rack == 0) {
+        worker.cutOff(cut);
+      }
+    }
+  }
+
+  /** The first zone's machines are gone. */
+  void closeZone() {
+    cloud.closeZone(zone(0));
+  }
+
+  void openZone() {
+    cloud.openZone(zone(0));
+  }
+
+  boolean isInClosedZone(ControllerProcess controller) {
+    return controller.zone().equals(zone(0));
+  }
+
+  // What the parts of the cell tell it.
+
+  @Override
+  public String takeAddress() {
+    return freeAddresses.poll();
+  }
+
+  @Override
+  public void up(Machine machine, MachineType type) {
+    int racks = settings.cells().racksPerZone() * settings.cells().zones();
+    HollowWorker worker = new HollowWorker(machine, type, lastRack++ % racks, this);
+    workers.put(machine.name(), worker);
+    byAddress.put(machine.addr(), worker);
+  }
+
+  @Override
+  public void gone(Machine machine) {
+    HollowWorker worker = workers.remove(machine.name());
+    if (worker != null) {
+      worker.stop();
+      byAddress.remove(machine.addr());
+      freeAddresses.add(machine.addr());
+    }
+  }
+
+  void tokenSeen(long token) {
+    newestToken = Math.max(newestToken, token);
+    recoveries.forEach(timer -> timer.termSeen(term(), Clock.nowMs()));
+  }
+
+  void taskStarted(HollowWorker worker, Attempt attempt, Catalogue.Entry entry) {
+    long nowMs = Clock.nowMs();
+    counters.starts++;
+    runningTasks++;
+    checker.started(worker.machine.name(), attempt, nowMs);
+    Standing service = standing.get(attempt.task().job());
+    if (service != null) {
+      service.running++;
+    }
+    BitSet started = everStarted.computeIfAbsent(attempt.task().job(), uid -> new BitSet());
+    if (!started.get(attempt.task().index())) {
+      started.set(attempt.task().index());
+      histogram(entry).recordValue(Math.min(MOST_MS, nowMs - entry.submittedMs()));
+    }
+  }
+
+  private Histogram histogram(Catalogue.Entry entry) {
+    if (entry.submittedMs() - loadBeganMs < 1000 * settings.phases().rampS()) {
+      return rampStartMs;
+    }
+    return entry.jobClass().urgent() ? urgentStartMs : startMs;
+  }
+
+  void taskGone(HollowWorker worker, Attempt attempt, boolean done) {
+    runningTasks--;
+    counters.ends += done ? 1 : 0;
+    checker.gone(worker.machine.name(), attempt, done);
+    Standing service = standing.get(attempt.task().job());
+    if (service != null) {
+      service.running--;
+    }
+  }
+
+  boolean isFinished(TaskId task) {
+    return checker.isFinished(task);
+  }
+
+  void accepted(Catalogue.Entry entry, long askedMs) {
+    long nowMs = Clock.nowMs();
+    counters.accepted++;
+    liveJobs.add(entry.job().uid());
+    acceptMs.recordValue(Math.min(MOST_MS, nowMs - entry.submittedMs()));
+    recoveries.forEach(timer -> timer.accepted(askedMs, nowMs));
+    if (entry.job().kind() == JobKind.SERVICE) {
+      standing.put(entry.job().uid(), new Standing(entry.job()));
+    }
+  }
+
+  void cancelAsked(String uid) {
+    standing.remove(uid);
+  }
+
+  void jobOver(String uid) {
+    liveJobs.remove(uid);
+    everStarted.remove(uid);
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/scale/CellCounters.java
@@ -0,0 +1,63 @@
+package eiderfork.scale;
+
+/** What happened in a cell since the run began; written by the cell's own thread alone. */
+final class CellCounters implements Cloneable {
+  long stateRequests;
+  long stateWrites;
+  long stateConflicts;
+  long stateRefused;
+  long stateBytesIn;
+  long stateBytesOut;
+  long cloudRequests;
+  long cloudRefused;
+  long reports;
+  long reportedTasks;
+  long reportBytesOut;
+  long reportBytesIn;
+  long directCommands;
+  long starts;
+  long ends;
+  long submissions;
+  long accepted;
+  long userRefusals;
+  long polls;
+  long pollFailures;
+  long cancellations;
+
+  /** A copy, for the difference over a phase. */
+  @Override
+  public CellCounters clone() {
+    try {
+      return (CellCounters) super.clone();
+    } catch (CloneNotSupportedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** What was added to a copy that was made before. */
+  CellCounters minus(CellCounters before) {
+    CellCounters difference = new CellCounters();
+    difference.stateRequests = stateRequests - before.stateRequests;
+    difference.stateWrites = stateWrites - before.stateWrites;
+    difference.stateConflicts = stateConflicts - before.stateConflicts;
+    difference.stateRefused = stateRefused - before.stateRefused;
+    difference.stateBytesIn = stateBytesIn - before.stateBytesIn;
+    difference.stateBytesOut = stateBytesOut - before.stateBytesOut;
+    difference.cloudRequests = cloudRequests - before.cloudRequests;
+    difference.cloudRefused = cloudRefused - before.cloudRefused;
+    difference.reports = reports - before.reports;
+    difference.reportedTasks = reportedTasks - before.reportedTasks;
+    difference.reportBytesOut = reportBytesOut - before.reportBytesOut;
+    difference.reportBytesIn = reportBytesIn - before.reportBytesIn;
+    difference.directCommands = directCommands - before.directCommands;
+    difference.starts = starts - before.starts;
+    difference.ends = ends - before.ends;
+    difference.submissions = submissions - before.submissions;
+    difference.accepted = accepted - before.accepted;
+    difference.userRefusals = userRefusals - before.userRefusals;
+    difference.polls = polls - before.polls;
+    difference.pollFailures = pollFailures - before.pollFailures;
+    difference.cancellations = cancellations - before.cancellations;
+    return difference;
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/scale/ControllerSettings.java
@@ -0,0 +1,75 @@
+package eiderfork.scale;
+
+import eiderfork.config.Settings.Endpoint;
+import eiderfork.model.Team;
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+
+/** Writes the platform's settings file for the controllers of a cell. */
+final class ControllerSettings {
+  /** What the scale run allows a controller; nothing holds the process to the share of a core. */
+  private static final String RESOURCES =
+      "[deployment.resources]\ncpu_share = 1.0\nmemory_mb = 256.0\nsockets = 8000\n";
+
+  /** A controller with its zone and addresses. */
+  record Member(String name, String zone, Endpoint publicAddress, Endpoint peerAddress) {}
+
+  private ControllerSettings() {}
+
+  static String of(
+      ScaleSettings run,
+      List<Member> members,
+      int self,
+      Endpoint state,
+      Endpoint cloud,
+      Collection<Team> teams) {
+    StringBuilder text = new StringBuilder();
+    Member own = members.get(self);
+    put(text, "host_name", own.name());
+    put(text, "zone", own.zone());
+    put(text, "public_addr", own.publicAddress());
+    put(text, "peer_listen", own.peerAddress());
+    for (Member other : members) {
+      if (other != own) {
+        text.append("[[others]]\n");
+        put(text, "host_name", other.name());
+        put(text, "zone", other.zone());
+        put(text, "endpoint", other.peerAddress());
+      }
+    }
+    text.append("[endpoints]\n");
+    put(text, "cloud", cloud);
+    put(text, "state", state);
+    text.append("[deployment]\ninitial_size = 0\n");
+    for (Team team : teams) {
+      text.append("[[deployment.teams]]\n");
+      put(text, "name", team.name());
+      put(text, "cpus", team.cpus());
+      put(text, "cpus_max", team.cpusMax());
+      put(text, "gpus", team.gpus());
+      put(text, "gpus_max", team.gpusMax());
+    }
+    text.append("[deployment.workers]\n");
+    put(text, "report_s", run.workers().reportS());
+    put(text, "lease_s", run.workers().leaseS());
+    put(text, "cancel_s", run.workers().cancelS());
+    text.append("[deployment.state]\n");
+    put(text, "rps", run.state().rps());
+    put(text, "write_rps", run.state().writeRps());
+    put(text, "value_kb", run.state().valueKb());
+    text.append("txn_ops = ").append(run.state().txnOps()).append('\n');
+    text.append("[deployment.cloud]\n");
+    put(text, "rps", run.cloud().rps());
+    put(text, "list_lag_s", run.cloud().listLagS());
+    return text.append(RESOURCES).toString();
+  }
+
+  private static void put(StringBuilder text, String name, double value) {
+    text.append(String.format(Locale.ROOT, "%s = %.3f%n", name, value));
+  }
+
+  private static void put(StringBuilder text, String name, Object value) {
+    text.append(String.format(Locale.ROOT, "%s = \"%s\"%n", name, value));
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/scale/HollowWorker.java
@@ -0,0 +1,345 @@
+package eiderfork.scale;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.model.Attempt;
+import eiderfork.model.Command;
+import eiderfork.model.Machine;
+import eiderfork.model.MachineType;
+import eiderfork.model.Report;
+import eiderfork.model.Resources;
+import eiderfork.model.TaskReport;
+import eiderfork.net.HttpClient;
+import eiderfork.net.HttpServer;
+import eiderfork.wire.BadMessage;
+import eiderfork.wire.WorkerClientWire;
+import eiderfork.wire.WorkerWire;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** A worker without work: keeps the protocol's sessions, leases and tokens; tasks are delays. */
+final class HollowWorker {
+  private static final long LEAST_BETWEEN_REPORTS_MS = 500;
+  private static final long ANSWER_MS = 4000;
+  private static final long NEXT_NODE_MS = 1000;
+  private static final byte[] EMPTY = "{}".getBytes(StandardCharsets.UTF_8);
+
+  private static final class Task {
+    TaskReport.State state = TaskReport.State.FETCHING;
+    TaskReport.Cause cause;
+    Resources need = Resources.NONE;
+  }
+
+  final Machine machine;
+  final int rack;
+  private final MachineType type;
+  private final Cell cell;
+  private final HttpClient client;
+  private final Map<Attempt, Task> tasks = new LinkedHashMap<>();
+  private final Map<String, Long> imageReadyMs = new HashMap<>();
+  private Resources used = Resources.NONE;
+  private int node;
+  private long session = 1;
+  private long sequence;
+  private long token;
+  private long leaseFromMs = Clock.nowMs();
+  private long lastReportMs;
+  private long tokenReportedMs;
+  private boolean reporting;
+  private boolean changed;
+  private ScheduledFuture<?> next;
+  private boolean cutOff;
+  private boolean gone;
+
+  HollowWorker(Machine machine, MachineType type, int rack, Cell cell) {
+    this.machine = machine;
+    this.type = type;
+    this.rack = rack;
+    this.cell = cell;
+    node = cell.random.nextInt(cell.controllers().size());
+    client = new HttpClient(cell.loop, 1, channel -> channel.pipeline().addFirst(cell.workerBytes));
+    reportIn(0);
+  }
+
+  /** The node that this worker reports to. */
+  int node() {
+    return node;
+  }
+
+  long token() {
+    return token;
+  }
+
+  /** Whether nothing reaches this worker and nothing from it gets through. */
+  void cutOff(boolean value) {
+    cutOff = value;
+  }
+
+  /** The machine is gone with all that is on it. */
+  void stop() {
+    gone = true;
+    dropTasks();
+    if (next != null) {
+      next.cancel(false);
+    }
+  }
+
+  private void dropTasks() {
+    tasks.forEach(
+        (attempt, task) -> {
+          if (task.state == TaskReport.State.RUNNING) {
+            cell.taskGone(this, attempt, false);
+          }
+        });
+    tasks.clear();
+    used = Resources.NONE;
+  }
+
+  /** Ends the session where the lease has run out. */
+  void checkLease(long nowMs) {
+    if (!gone && nowMs - leaseFromMs > cell.leaseMs()) {
+      dropTasks();
+      session++;
+      leaseFromMs = nowMs;
+      changed();
+    }
+  }
+
+  // Reports.
+
+  private void reportIn(long delayMs) {
+    if (next != null) {
+      next.cancel(false);
+    }
+    if (!gone) {
+      next = cell.loop.schedule(this::sendReport, delayMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void reportRegularly() {
+    reportIn((long) (cell.reportMs() * (0.75 + 0.5 * cell.random.nextDouble())));
+  }
+
+  private void changed() {
+    changed = true;
+    if (!reporting) {
+      reportIn(Math.max(0, lastReportMs + LEAST_BETWEEN_REPORTS_MS - Clock.nowMs()));
+    }
+  }
+
+  private Report report() {
+    ImmutableList.Builder<TaskReport> list = ImmutableList.builder();
+    tasks.forEach(
+        (attempt, task) -> list.add(new TaskReport(attempt, task.state, task.cause, false)));
+    return new Report(machine, session, ++sequence, token, null, list.build());
+  }
+
+  private void sendReport() {
+    if (gone || reporting) {
+      return;
+    }
+    long sentMs = Clock.nowMs();
+    lastReportMs = sentMs;
+    changed = false;
+    reporting = true;
+    if (cutOff) {
+      cell.loop.schedule(
+          () -> answered(sentMs, session, 0, EMPTY), ANSWER_MS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    byte[] body = WorkerClientWire.report(report());
+    cell.counters.reports++;
+    cell.counters.reportedTasks += tasks.size();
+    long ofSession = session;
+    client.send(
+        cell.controllers().get(node).publicAddress(),
+        "POST",
+        WorkerWire.REPORT,
+        body,
+        ANSWER_MS,
+        (status, said) -> answered(sentMs, ofSession, cutOff ? 0 : status, said));
+  }
+
+  private void answered(long sentMs, long ofSession, int status, byte[] body) {
+    reporting = false;
+    if (gone) {
+      return;
+    }
+    try {
+      if (status == 200) {
+        taken(sentMs, ofSession, WorkerClientWire.commands(body));
+        if (changed) {
+          changed();
+        } else {
+          reportRegularly();
+        }
+      } else if (status == 421) {
+        redirected(WorkerClientWire.leader(body));
+      } else {
+        tryNextNode();
+      }
+    } catch (BadMessage e) {
+      tryNextNode();
+    }
+  }
+
+  private void redirected(String leader) {
+    int named = cell.controllerIndex(leader);
+    if (named >= 0 && named != node) {
+      node = named;
+      reportIn(cell.random.nextInt((int) LEAST_BETWEEN_REPORTS_MS));
+    } else {
+      tryNextNode();
+    }
+  }
+
+  private void tryNextNode() {
+    node = (node + 1) % cell.controllers().size();
+    reportIn(NEXT_NODE_MS);
+  }
+
+  private void taken(long sentMs, long ofSession, WorkerClientWire.Commands commands) {
+    if (ofSession != session || commands.token() < token) {
+      return;
+    }
+    leaseFromMs = Math.max(leaseFromMs, sentMs);
+    seen(commands.token());
+    commands.commands().forEach(this::execute);
+  }
+
+  private void seen(long newer) {
+    if (newer > token) {
+      token = newer;
+      cell.tokenSeen(token);
+      if (Clock.nowMs() - tokenReportedMs > cell.leaseMs() / 2) {
+        tokenReportedMs = Clock.nowMs();
+        changed = true;
+      }
+    }
+  }
+
+  // Direct requests.
+
+  void handle(HttpServer.Exchange exchange) {
+    if (gone || cutOff) {
+      return;
+    }
+    if (exchange.path.equals(WorkerWire.INSPECT)) {
+      exchange.answer(200, WorkerClientWire.report(report()), 0);
+      return;
+    }
+    try {
+      var commands = WorkerClientWire.commands(exchange.body);
+      boolean valid = commands.token() >= token && commands.session() == session;
+      if (valid) {
+        cell.counters.directCommands += commands.commands().size();
+        seen(commands.token());
+        commands.commands().forEach(this::execute);
+      }
+      exchange.answer(valid ? 200 : 409, WorkerClientWire.report(report()), 0);
+      if (changed) {
+        changed();
+      }
+    } catch (BadMessage e) {
+      exchange.answer(400, EMPTY, 0);
+    }
+  }
+
+  // Commands.
+
+  private void execute(Command command) {
+    Task task = tasks.get(command.attempt());
+    if (command instanceof Command.Run) {
+      if (task == null) {
+        run(command.attempt());
+      }
+    } else if (command instanceof Command.Kill) {
+      if (task != null && task.state != TaskReport.State.ENDED) {
+        end(command.attempt(), task, TaskReport.Cause.STOPPED);
+      }
+    } else if (task != null && task.state == TaskReport.State.ENDED) {
+      tasks.remove(command.attempt());
+    }
+  }
+
+  private void run(Attempt attempt) {
+    Task task = new Task();
+    tasks.put(attempt, task);
+    changed = true;
+    Catalogue.Entry entry = cell.catalogue.get(attempt.task().job());
+    if (entry == null) {
+      end(attempt, task, TaskReport.Cause.UNKNOWN);
+    } else if (isHereAlready(attempt)) {
+      end(attempt, task, TaskReport.Cause.BUSY);
+    } else if (!used.plus(entry.job().need()).fitsIn(type.room())) {
+      end(attempt, task, TaskReport.Cause.NO_ROOM);
+    } else {
+      task.need = entry.job().need();
+      used = used.plus(task.need);
+      long waitMs = Math.max(1, imageReadyMs(entry) - Clock.nowMs());
+      cell.loop.schedule(() -> start(attempt, task, entry), waitMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private boolean isHereAlready(Attempt attempt) {
+    for (Map.Entry<Attempt, Task> other : tasks.entrySet()) {
+      if (!other.getKey().equals(attempt)
+          && other.getKey().task().equals(attempt.task())
+          && other.getValue().state != TaskReport.State.ENDED) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private long imageReadyMs(Catalogue.Entry entry) {
+    double fetchS = entry.job().imageGb() / type.fetchGbPerS();
+    return imageReadyMs.computeIfAbsent(
+        entry.job().image(), image -> Clock.nowMs() + (long) (1000 * fetchS));
+  }
+
+  private void start(Attempt attempt, Task task, Catalogue.Entry entry) {
+    if (gone || tasks.get(attempt) != task || task.state != TaskReport.State.FETCHING) {
+      return;
+    }
+    task.state = TaskReport.State.RUNNING;
+    cell.taskStarted(this, attempt, entry);
+    if (cell.isFinished(attempt.task())) {
+      end(attempt, task, TaskReport.Cause.DONE);
+    } else if (entry.taskMs() > 0) {
+      cell.loop.schedule(() -> finish(attempt, task), entry.taskMs(), TimeUnit.MILLISECONDS);
+    }
+    changed();
+  }
+
+  private void finish(Attempt attempt, Task task) {
+    if (!gone && tasks.get(attempt) == task && task.state == TaskReport.State.RUNNING) {
+      end(attempt, task, TaskReport.Cause.DONE);
+      changed();
+    }
+  }
+
+  private void end(Attempt attempt, Task task, TaskReport.Cause cause) {
+    boolean wasRunning = task.state == TaskReport.State.RUNNING;
+    task.state = TaskReport.State.ENDED;
+    task.cause = cause;
+    used = used.minus(task.need);
+    task.need = Resources.NONE;
+    changed = true;
+    if (wasRunning) {
+      cell.taskGone(this, attempt, cause == TaskReport.Cause.DONE);
+    }
+  }
+
+  /** What runs on this machine now. */
+  List<Attempt> running() {
+    return tasks.entrySet().stream()
+        .filter(it -> it.getValue().state == TaskReport.State.RUNNING)
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/scale/MachineLimits.java
@@ -0,0 +1,36 @@
+package eiderfork.scale;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Refuses runs that would take more of this machine than they may. */
+final class MachineLimits {
+  /** What a controller's process may come to with the heap of the deploy file, in megabytes. */
+  private static final int CONTROLLER_MB = 192;
+
+  private static final int MOST_PROCESSES = 300;
+  private static final double MOST_MEMORY_SHARE = 0.5;
+
+  private MachineLimits() {}
+
+  /** Why the run may not start on a machine with that much memory; null where it may. */
+  static String objection(int controllers, double ownMb, double machineMb) {
+    if (controllers + 1 > MOST_PROCESSES) {
+      return controllers + " controllers are more processes than " + MOST_PROCESSES;
+    }
+    double needMb = ownMb + controllers * (double) CONTROLLER_MB;
+    if (needMb > machineMb * MOST_MEMORY_SHARE) {
+      return String.format(
+          "%d controllers and the emulation may take %.0f MB, more than half of this machine's %.0f",
+          controllers, needMb, machineMb);
+    }
+    return null;
+  }
+
+  /** The machine's memory in megabytes. */
+  static double machineMb() throws IOException {
+    String first = Files.readAllLines(Path.of("/proc/meminfo")).get(0);
+    return Long.parseLong(first.replaceAll("[^0-9]", "")) / 1024.0;
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/scale/PreloadedJobs.java
@@ -0,0 +1,53 @@
+package eiderfork.scale;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.core.Keys;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Priority;
+import eiderfork.model.Record;
+import eiderfork.model.Resources;
+import eiderfork.wire.StateServerWire;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Jobs of one task that have ended before the run, as a leader of this version stores them. */
+final class PreloadedJobs {
+  /** Above all ids that users of a run draw. */
+  private static final long FIRST_ID = 2_000_000_000_000_000L;
+
+  private static final long IDS = 1_000_000_000_000L;
+
+  private PreloadedJobs() {}
+
+  static void store(EmulatedState state, int count, UniformRandomProvider random) {
+    for (int i = 0; i < count; i++) {
+      String uid = "run-" + (FIRST_ID + random.nextLong(IDS) * 1000 + i % 1000);
+      Record.Alloc alloc =
+          new Record.Alloc(1, true, ImmutableList.of(), ImmutableList.of(new Record.Range(0, 0)));
+      state.preload(Keys.JOB + uid, StateServerWire.value(new Record.JobSpec(job(uid))));
+      state.preload(Keys.ALLOC + uid, StateServerWire.value(new Record.PackedAlloc(alloc)));
+    }
+  }
+
+  private static Job job(String uid) {
+    return new Job(
+        uid,
+        "short",
+        "team-0",
+        JobKind.ARRAY,
+        Priority.STANDARD,
+        1,
+        new Resources(1, 0, 1),
+        null,
+        null,
+        false,
+        false,
+        false,
+        "short-0",
+        1,
+        10,
+        0,
+        0,
+        null);
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/scale/ScaleRun.java
@@ -0,0 +1,422 @@
+package eiderfork.scale;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import eiderfork.config.BadSettings;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import org.HdrHistogram.Histogram;
+
+/** Plays a scale run and makes its report. */
+public final class ScaleRun {
+  private static final long SAMPLE_MS = 500;
+  private static final long PROGRESS_MS = 5000;
+  private static final long START_MS = 30_000;
+
+  private record Restart(ControllerProcess controller, long atMs) {}
+
+  private record Reopening(Cell cell, String kind, long atMs) {}
+
+  /** What was counted up to a moment, for the difference over a phase. */
+  private record Snapshot(
+      CellCounters counters, double[] cpuS, long atMs, double ownCpuS, CpuTimes machine) {}
+
+  private final String file;
+  private final ScaleSettings settings;
+  private final List<String> command;
+  private final PrintStream progress;
+  private final Path directory;
+  private final List<Cell> cells = new ArrayList<>();
+  private final List<ScaleReport.Phase> phases = new ArrayList<>();
+  private final List<Restart> restarts = new ArrayList<>();
+  private final List<Reopening> reopenings = new ArrayList<>();
+  private final List<ScaleSettings.Trouble> troubles;
+  private final Map<ControllerProcess, Double> mostMemoryMb = new HashMap<>();
+  private final Map<ControllerProcess, Integer> endedByItself = new HashMap<>();
+  private List<Snapshot> phaseBegan;
+  private long beganMs;
+
+  private ScaleRun(
+      String file,
+      ScaleSettings settings,
+      List<String> command,
+      Path directory,
+      PrintStream progress) {
+    this.file = file;
+    this.settings = settings;
+    this.command = command;
+    this.directory = directory;
+    this.progress = progress;
+    troubles = new ArrayList<>(settings.troubles());
+    troubles.sort(Comparator.comparingDouble(ScaleSettings.Trouble::atS));
+  }
+
+  /**
+   * Plays a run.
+   *
+   * @param path the run's file
+   * @param deploy the file that says how controllers are started
+   * @param logs where the controllers' settings and logs go; null for a folder that is removed
+   * @param progress takes a line every few seconds; null for none
+   * @return the summary as text and as JSON, and whether all was well
+   * @throws BadSettings where the file can't be used or asks too much of this machine
+   * @throws IOException where a controller does not start
+   */
+  public static Outcome play(Path path, Path deploy, Path logs, PrintStream progress)
+      throws BadSettings, IOException, InterruptedException {
+    ScaleSettings settings = ScaleFile.read(path);
+    double ownMb = Runtime.getRuntime().maxMemory() / 1024.0 / 1024.0;
+    String objection =
+        MachineLimits.objection(settings.controllerCount(), ownMb, MachineLimits.machineMb());
+    if (objection != null) {
+      throw new BadSettings(path.toString(), "cells", objection);
+    }
+    Path directory = logs == null ? Files.createTempDirectory("eiderfork-scale") : logs;
+    Files.createDirectories(directory);
+    ScaleRun run = new ScaleRun(path.toString(), settings, runCommand(deploy), directory, progress);
+    Thread cleanUp = new Thread(run::killAll);
+    Runtime.getRuntime().addShutdownHook(cleanUp);
+    try {
+      ScaleReport report = run.play();
+      return new Outcome(report.toText(), report.toJson(), report.isGood());
+    } finally {
+      run.killAll();
+      Runtime.getRuntime().removeShutdownHook(cleanUp);
+      run.cells.forEach(Cell::close);
+      if (logs == null) {
+        remove(directory);
+      }
+    }
+  }
+
+  /** The summary of a run, and whether no rule was broken and no process ended by itself. */
+  public record Outcome(String text, String json, boolean good) {}
+
+  private static List<String> runCommand(Path deploy) throws BadSettings, IOException {
+    JsonNode run = new TomlMapper().readTree(Files.readString(deploy)).path("run");
+    if (!run.isTextual()) {
+      throw new BadSettings(deploy.toString(), "run", "missing");
+    }
+    return List.of(run.textValue().trim().split(" +"));
+  }
+
+  private static void remove(Path directory) throws IOException {
+    try (var files = Files.list(directory)) {
+      for (Path each : files.toList()) {
+        Files.delete(each);
+      }
+    }
+    Files.delete(directory);
+  }
+
+  /** Ends every controller, also while the run is being interrupted. */
+  private void killAll() {
+    for (Cell cell : cells) {
+      for (ControllerProcess controller : cell.controllers()) {
+        try {
+          controller.killAndWait();
+        } catch (InterruptedException e) {
+          controller.kill();
+        }
+      }
+    }
+  }
+
+  private List<ControllerProcess> controllers() {
+    return cells.stream().flatMap(cell -> cell.controllers().stream()).toList();
+  }
+
+  private static long nowMs() {
+    return Clock.nowMs();
+  }
+
+  private ScaleReport play() throws IOException, InterruptedException {
+    FreePorts ports = new FreePorts();
+    for (int i = 0; i < settings.cells().count(); i++) {
+      Cell cell = new Cell(settings, i);
+      cells.add(cell);
+      cell.prepare(directory, command, ports);
+    }
+    for (ControllerProcess controller : controllers()) {
+      controller.start();
+    }
+    for (ControllerProcess controller : controllers()) {
+      awaitHealthy(controller);
+    }
+    beganMs = nowMs();
+    cells.forEach(Cell::begin);
+    phaseBegan = snapshots();
+    playPhases();
+    return report();
+  }
+
+  private static void awaitHealthy(ControllerProcess controller)
+      throws IOException, InterruptedException {
+    long untilMs = nowMs() + START_MS;
+    while (nowMs() < untilMs) {
+      if (!controller.isAlive()) {
+        throw new IOException(controller.name() + " ended while it was started");
+      }
+      try {
+        URI health = URI.create("http://" + controller.publicAddress() + "/healthz");
+        HttpURLConnection connection = (HttpURLConnection) health.toURL().openConnection();
+        if (connection.getResponseCode() == HttpURLConnection.HTTP_OK) {
+          return;
+        }
+      } catch (IOException e) {
+        // It does not listen yet.
+      }
+      Thread.sleep(SAMPLE_MS / 5);
+    }
+    throw new IOException(controller.name() + " does not answer");
+  }
+
+  private void playPhases() throws IOException, InterruptedException {
+    ScaleSettings.Phases at = settings.phases();
+    playUntil("ramp", at.rampS());
+    playUntil("steady", at.peakAtS());
+    playUntil("peak", at.peakAtS() + at.peakS());
+    playUntil("after", settings.runS());
+  }
+
+  private void playUntil(String phase, double endS) throws IOException, InterruptedException {
+    double untilS = Math.min(endS, settings.runS());
+    if (elapsedS() >= untilS) {
+      return;
+    }
+    long toldMs = 0;
+    while (elapsedS() < untilS) {
+      Thread.sleep(SAMPLE_MS);
+      sample();
+      makeTroubles();
+      undoTroubles();
+      if (progress != null && nowMs() - toldMs > PROGRESS_MS) {
+        toldMs = nowMs();
+        tell(phase);
+      }
+    }
+    endPhase(phase);
+  }
+
+  private double elapsedS() {
+    return (nowMs() - beganMs) / 1000.0;
+  }
+
+  /** Runs something on a cell's own thread. */
+  private static <T> T on(Cell cell, Callable<T> what) throws InterruptedException {
+    try {
+      return cell.loop.submit(what).get();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e.getCause());
+    }
+  }
+
+  private void tell(String phase) throws InterruptedException {
+    int workers = 0;
+    int tasks = 0;
+    int missing = 0;
+    long breaches = 0;
+    for (Cell cell : cells) {
+      workers += on(cell, cell::workerCount);
+      tasks += on(cell, cell::runningTaskCount);
+      missing += on(cell, cell::missingReplicas);
+      breaches += on(cell, () -> cell.checker.breachCount());
+    }
+    progress.printf(
+        "%5.0f s %-6s %6d workers %6d tasks running %5d replicas missing %d rules broken%n",
+        elapsedS(), phase, workers, tasks, missing, breaches);
+  }
+
+  private void sample() throws IOException {
+    for (ControllerProcess controller : controllers()) {
+      mostMemoryMb.merge(controller, controller.memoryMb(), Math::max);
+      boolean killed = restarts.stream().anyMatch(it -> it.controller == controller);
+      if (!controller.isAlive() && !killed) {
+        endedByItself.merge(controller, 1, Integer::sum);
+        controller.start();
+      }
+    }
+  }
+
+  // Troubles.
+
+  private void makeTroubles() throws InterruptedException {
+    while (!troubles.isEmpty() && troubles.get(0).atS() <= elapsedS()) {
+      ScaleSettings.Trouble trouble = troubles.remove(0);
+      Cell cell = cells.get(trouble.cell());
+      on(
+          cell,
+          () -> {
+            cell.troubleBegins(trouble);
+            return null;
+          });
+      make(trouble, cell);
+    }
+  }
+
+  private void make(ScaleSettings.Trouble trouble, Cell cell) throws InterruptedException {
+    switch (trouble.kind()) {
+      case "leader" -> kill(cell.controllers().get(on(cell, cell::leader)), trouble);
+      case "controllers" -> cell.controllers().forEach(each -> kill(each, trouble));
+      case "rack" -> cell.loop.execute(() -> cell.cutRack(true));
+      case "zone" -> {
+        cell.loop.execute(cell::closeZone);
+        cell.controllers().stream()
+            .filter(cell::isInClosedZone)
+            .forEach(each -> kill(each, trouble));
+      }
+      default -> throw new IllegalStateException(trouble.kind());
+    }
+    if (trouble.kind().equals("rack") || trouble.kind().equals("zone")) {
+      reopenings.add(new Reopening(cell, trouble.kind(), untilMs(trouble)));
+    }
+  }
+
+  private static long untilMs(ScaleSettings.Trouble trouble) {
+    return nowMs() + (long) (1000 * trouble.forS());
+  }
+
+  private void kill(ControllerProcess controller, ScaleSettings.Trouble trouble) {
+    restarts.add(new Restart(controller, untilMs(trouble)));
+    controller.kill();
+  }
+
+  private void undoTroubles() throws IOException {
+    for (Restart it : List.copyOf(restarts)) {
+      if (nowMs() >= it.atMs && !it.controller.isAlive()) {
+        it.controller.start();
+        restarts.remove(it);
+      }
+    }
+    for (Reopening it : List.copyOf(reopenings)) {
+      if (nowMs() >= it.atMs) {
+        it.cell.loop.execute(
+            () -> {
+              if (it.kind.equals("rack")) {
+                it.cell.cutRack(false);
+              } else {
+                it.cell.openZone();
+              }
+            });
+        reopenings.remove(it);
+      }
+    }
+  }
+
+  // Figures.
+
+  private List<Snapshot> snapshots() throws IOException, InterruptedException {
+    double ownCpuS = ownCpuS();
+    CpuTimes machine = CpuTimes.read();
+    List<Snapshot> all = new ArrayList<>();
+    for (Cell cell : cells) {
+      double[] cpuS = cell.controllers().stream().mapToDouble(ControllerProcess::cpuS).toArray();
+      all.add(new Snapshot(on(cell, () -> cell.counters.clone()), cpuS, nowMs(), ownCpuS, machine));
+    }
+    return all;
+  }
+
+  private static double ownCpuS() {
+    var system = ManagementFactory.getOperatingSystemMXBean();
+    return ((com.sun.management.OperatingSystemMXBean) system).getProcessCpuTime() / 1e9;
+  }
+
+  private void endPhase(String name) throws IOException, InterruptedException {
+    List<Snapshot> now = snapshots();
+    for (int i = 0; i < cells.size(); i++) {
+      phases.add(phase(name, cells.get(i), phaseBegan.get(i), now.get(i)));
+    }
+    phaseBegan = now;
+  }
+
+  private ScaleReport.Phase phase(String name, Cell cell, Snapshot from, Snapshot to)
+      throws InterruptedException {
+    double seconds = (to.atMs - from.atMs) / 1000.0;
+    int leader = on(cell, cell::leader);
+    double followers = 0;
+    for (int i = 0; i < to.cpuS.length; i++) {
+      followers += i == leader ? 0 : to.cpuS[i] - from.cpuS[i];
+    }
+    return new ScaleReport.Phase(
+        name,
+        cell.number,
+        seconds,
+        on(cell, cell::workerCount),
+        on(cell, cell::runningTaskCount),
+        on(cell, cell::liveJobCount),
+        on(cell, cell::stateKeyCount),
+        (to.cpuS[leader] - from.cpuS[leader]) / seconds,
+        followers / Math.max(1, to.cpuS.length - 1) / seconds,
+        mostMemoryMb.getOrDefault(cell.controllers().get(leader), 0.0),
+        (to.ownCpuS - from.ownCpuS) / seconds,
+        to.machine.idleShareSince(from.machine),
+        to.counters.minus(from.counters));
+  }
+
+  private ScaleReport report() throws InterruptedException {
+    List<ScaleReport.Latency> latencies =
+        List.of(
+            ScaleReport.Latency.of("start, during the ramp", all(cell -> cell.rampStartMs)),
+            ScaleReport.Latency.of("start, after the ramp", all(cell -> cell.startMs)),
+            ScaleReport.Latency.of("start of urgent work", all(cell -> cell.urgentStartMs)),
+            ScaleReport.Latency.of("submission accepted", all(cell -> cell.acceptMs)));
+    Histogram lag = all(cell -> cell.lagMs);
+    List<RecoveryTimer.Result> recoveries = new ArrayList<>();
+    List<SafetyChecker.Breach> breaches = new ArrayList<>();
+    long breachCount = 0;
+    for (Cell cell : cells) {
+      recoveries.addAll(
+          on(cell, () -> cell.recoveries.stream().map(RecoveryTimer::result).toList()));
+      breaches.addAll(on(cell, () -> cell.checker.breaches()));
+      breachCount += on(cell, () -> cell.checker.breachCount());
+    }
+    List<ScaleReport.ProcessFigures> processes =
+        controllers().stream()
+            .map(
+                it ->
+                    new ScaleReport.ProcessFigures(
+                        it.name(),
+                        it.cpuS(),
+                        mostMemoryMb.getOrDefault(it, 0.0),
+                        endedByItself.getOrDefault(it, 0)))
+            .toList();
+    return new ScaleReport(
+        file,
+        settings,
+        Runtime.getRuntime().availableProcessors(),
+        phases,
+        latencies,
+        recoveries,
+        processes,
+        lag.getValueAtPercentile(99),
+        lag.getMaxValue(),
+        breachCount,
+        breaches);
+  }
+
+  private Histogram all(java.util.function.Function<Cell, Histogram> of)
+      throws InterruptedException {
+    Histogram sum = null;
+    for (Cell cell : cells) {
+      Histogram copy = on(cell, () -> of.apply(cell).copy());
+      if (sum == null) {
+        sum = copy;
+      } else {
+        sum.add(copy);
+      }
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/wire/StateServerWire.java
@@ -0,0 +1,126 @@
+package eiderfork.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import eiderfork.core.StateOp;
+import eiderfork.model.Record;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** The state service's side of its protocol, for stand-ins. Values are kept as JSON texts. */
+public final class StateServerWire {
+  private StateServerWire() {}
+
+  /** A change of a key; the value is null where the key is removed, and lease 0 is none. */
+  public record RawChange(String key, String value, long lease) {}
+
+  /** A conditional write. */
+  public record RawTransaction(
+      ImmutableList<StateOp.Condition> conditions, ImmutableList<RawChange> changes) {}
+
+  /** A stored key; the value is null in the log where the key was removed. */
+  public record RawItem(String key, String value, long version) {}
+
+  /**
+   * Reads a transaction.
+   *
+   * @throws BadMessage where it does not follow the protocol
+   */
+  public static RawTransaction transaction(byte[] body) throws BadMessage {
+    JsonNode node = Json.parse(body);
+    ImmutableList.Builder<StateOp.Condition> conditions = ImmutableList.builder();
+    for (JsonNode it : node.path("If")) {
+      conditions.add(new StateOp.Condition(Json.text(it, "Path"), Json.integer(it, "Stamp")));
+    }
+    ImmutableList.Builder<RawChange> changes = ImmutableList.builder();
+    for (JsonNode it : node.path("Then")) {
+      if (it.hasNonNull("Drop")) {
+        changes.add(new RawChange(Json.text(it, "Drop"), null, 0));
+      } else {
+        long lease = it.hasNonNull("Tether") ? Json.integer(it, "Tether") : 0;
+        changes.add(new RawChange(Json.text(it, "Write"), it.path("V").toString(), lease));
+      }
+    }
+    return new RawTransaction(conditions.build(), changes.build());
+  }
+
+  /**
+   * Reads how long a lease is to last.
+   *
+   * @throws BadMessage where the request does not follow the protocol
+   */
+  public static long leaseMs(byte[] body) throws BadMessage {
+    return Json.integer(Json.parse(body), "LifeMs");
+  }
+
+  /** The JSON text of a record, as controllers store it. */
+  public static String value(Record record) {
+    return Records.node(record).toString();
+  }
+
+  /** The answer to a transaction that was applied, or to a question for a missing key. */
+  public static byte[] revision(long revision) {
+    return bytes("{\"Ledger\":" + revision + "}");
+  }
+
+  /** The answer to a transaction of which these conditions failed. */
+  public static byte[] failed(List<String> keys, long revision) {
+    StringBuilder text = new StringBuilder("{\"failed\":[");
+    for (int i = 0; i < keys.size(); i++) {
+      text.append(i == 0 ? "\"" : ",\"").append(keys.get(i)).append('"');
+    }
+    return bytes(text.append("],\"Ledger\":").append(revision).append('}').toString());
+  }
+
+  /** The answer to a question for a key. */
+  public static byte[] item(RawItem item) {
+    return bytes(text(new StringBuilder(), item).toString());
+  }
+
+  private static StringBuilder text(StringBuilder to, RawItem item) {
+    return to.append("{\"Path\":\"")
+        .append(item.key())
+        .append("\",\"V\":")
+        .append(item.value())
+        .append(",\"Stamp\":")
+        .append(item.version())
+        .append('}');
+  }
+
+  /** A page of a range of keys. */
+  public static byte[] page(List<RawItem> items, boolean more, long revision) {
+    StringBuilder text = new StringBuilder("{\"Items\":[");
+    for (int i = 0; i < items.size(); i++) {
+      text(i == 0 ? text : text.append(','), items.get(i));
+    }
+    text.append("],\"HasNext\":").append(more).append(",\"Ledger\":").append(revision);
+    return bytes(text.append('}').toString());
+  }
+
+  /** The answer to a watch. */
+  public static byte[] log(List<RawItem> changes, long revision) {
+    StringBuilder text = new StringBuilder("{\"Ledger\":").append(revision).append(",\"Log\":[");
+    for (int i = 0; i < changes.size(); i++) {
+      RawItem it = changes.get(i);
+      text.append(i == 0 ? "{\"" : ",{\"")
+          .append(it.value() == null ? "Drop" : "Write")
+          .append("\":\"")
+          .append(it.key())
+          .append('"');
+      if (it.value() != null) {
+        text.append(",\"V\":").append(it.value());
+      }
+      text.append(",\"Stamp\":").append(it.version()).append('}');
+    }
+    return bytes(text.append("]}").toString());
+  }
+
+  /** The answer to a granted or renewed lease. */
+  public static byte[] lease(long lease) {
+    return bytes("{\"Tether\":" + lease + "}");
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/src/test/java/eiderfork/scale/SafetyCheckerTest.java
@@ -0,0 +1,159 @@
+package eiderfork.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.common.collect.ImmutableMap;
+import eiderfork.model.Attempt;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.JobStatus;
+import eiderfork.model.Priority;
+import eiderfork.model.Resources;
+import eiderfork.model.TaskId;
+import eiderfork.model.Team;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Each breach that the checker is there for is noticed, and an ordinary life is none. */
+class SafetyCheckerTest {
+  private static final long CANCEL_MS = 1000;
+
+  private final SafetyChecker checker =
+      new SafetyChecker(CANCEL_MS, ImmutableMap.of("team", new Team("team", 1, 2, 0, 0)));
+
+  private static Job job(String uid, int tasks) {
+    return new Job(
+        uid,
+        "class",
+        "team",
+        JobKind.ARRAY,
+        Priority.HIGH,
+        tasks,
+        new Resources(1, 0, 1),
+        null,
+        null,
+        false,
+        false,
+        false,
+        "image",
+        1,
+        1,
+        0,
+        0,
+        null);
+  }
+
+  private static Attempt attempt(String uid, int index, long number) {
+    return new Attempt(new TaskId(uid, index), number);
+  }
+
+  private void accept(String uid, int tasks) {
+    checker.submitting(job(uid, tasks));
+    checker.accepted(uid);
+  }
+
+  private void tell(String uid, JobStatus.Stance stance, long askedMs, long nowMs) {
+    checker.told(new JobStatus(uid, stance, 0, 0), askedMs, nowMs);
+  }
+
+  private List<SafetyChecker.Rule> broken() {
+    return checker.breaches().stream().map(SafetyChecker.Breach::rule).toList();
+  }
+
+  @Test
+  void anOrdinaryLifeBreaksNothing() {
+    accept("run-1", 1);
+    checker.started("a", attempt("run-1", 0, 1), 0);
+    checker.gone("a", attempt("run-1", 0, 1), false);
+    checker.started("b", attempt("run-1", 0, 2), 10);
+    tell("run-1", JobStatus.Stance.RUNNING, 11, 12);
+    checker.gone("b", attempt("run-1", 0, 2), true);
+    tell("run-1", JobStatus.Stance.DONE, 20, 21);
+    tell("run-1", JobStatus.Stance.DONE, 30, 31);
+    // Asked before the end was told, answered after it.
+    tell("run-1", JobStatus.Stance.RUNNING, 15, 32);
+    checker.tick(10_000);
+    assertEquals(List.of(), broken());
+  }
+
+  @Test
+  void aTaskOnTwoMachines() {
+    accept("run-1", 1);
+    checker.started("a", attempt("run-1", 0, 1), 0);
+    checker.started("b", attempt("run-1", 0, 2), 10);
+    assertEquals(List.of(SafetyChecker.Rule.RAN_TWICE), broken());
+  }
+
+  @Test
+  void aTeamOverItsLimit() {
+    accept("run-1", 3);
+    checker.started("a", attempt("run-1", 0, 1), 0);
+    checker.started("a", attempt("run-1", 1, 1), 0);
+    assertEquals(List.of(), broken());
+    checker.started("a", attempt("run-1", 2, 1), 0);
+    assertEquals(List.of(SafetyChecker.Rule.QUOTA), broken());
+  }
+
+  @Test
+  void aJobLost() {
+    checker.submitting(job("run-1", 1));
+    checker.denied("run-1", checker.isAccepted("run-1"));
+    assertEquals(List.of(), broken());
+    checker.accepted("run-1");
+    checker.denied("run-1", checker.isAccepted("run-1"));
+    assertEquals(List.of(SafetyChecker.Rule.FORGOTTEN), broken());
+  }
+
+  @Test
+  void aJobThatGoesBack() {
+    accept("run-1", 1);
+    checker.cancelling("run-1");
+    tell("run-1", JobStatus.Stance.ABORTED, 0, 5);
+    tell("run-1", JobStatus.Stance.RUNNING, 6, 7);
+    assertEquals(List.of(SafetyChecker.Rule.WENT_BACK), broken());
+  }
+
+  @Test
+  void aJobCancelledByNobody() {
+    accept("run-1", 1);
+    tell("run-1", JobStatus.Stance.ABORTED, 0, 5);
+    assertEquals(List.of(SafetyChecker.Rule.WENT_BACK), broken());
+  }
+
+  @Test
+  void aJobDoneTooSoon() {
+    accept("run-1", 2);
+    checker.started("a", attempt("run-1", 0, 1), 0);
+    checker.gone("a", attempt("run-1", 0, 1), true);
+    tell("run-1", JobStatus.Stance.DONE, 5, 6);
+    assertEquals(List.of(SafetyChecker.Rule.NOT_DONE), broken());
+  }
+
+  @Test
+  void aCancelledTaskThatRunsOn() {
+    accept("run-1", 1);
+    checker.started("a", attempt("run-1", 0, 1), 0);
+    checker.cancelling("run-1");
+    tell("run-1", JobStatus.Stance.ABORTED, 0, 5);
+    checker.tick(5 + CANCEL_MS);
+    assertEquals(List.of(), broken());
+    checker.tick(6 + CANCEL_MS);
+    assertEquals(List.of(SafetyChecker.Rule.RAN_CANCELLED), broken());
+  }
+
+  @Test
+  void aCancelledTaskThatStartsLate() {
+    accept("run-1", 1);
+    checker.cancelling("run-1");
+    tell("run-1", JobStatus.Stance.ABORTED, 0, 5);
+    checker.tick(6 + CANCEL_MS);
+    checker.started("a", attempt("run-1", 0, 1), 7 + CANCEL_MS);
+    assertEquals(List.of(SafetyChecker.Rule.RAN_CANCELLED), broken());
+  }
+
+  @Test
+  void aJobThatNobodySubmitted() {
+    tell("run-9", JobStatus.Stance.PENDING, 0, 1);
+    assertEquals(List.of(SafetyChecker.Rule.INVENTED), broken());
+  }
+}
