--- a/src/test/java/eiderfork/core/JobArchiveTest.java
+++ b/src/test/java/eiderfork/core/JobArchiveTest.java
@@ -179,13 +179,42 @@
       submitLateAsOlderVersion(world, done);
     }
     world.all().forEach(node -> world.crash(node, 200 + seed * 50));
-    for (int ms = 0; ms < 9000; ms += 70) {
+    // Asked early, the nodes would remember the right answer for later questions.
+    int firstAskedMs = seed % 3 == 0 ? 0 : 7000;
+    for (int ms = firstAskedMs; ms < 9000; ms += 70) {
       world.at(ms, () -> world.queryAll(done.uid()));
     }
     world.at(9000, () -> world.abortAt("roost-0", done.uid()));
     world.run(15);
     rulesHold(world);
     assertEquals(JobStatus.Stance.DONE, world.checker.finalStance(done.uid()));
+    assertEquals(
+        new Record.EndedJob(JobStatus.Stance.DONE, 3), world.state.get(Keys.ended(done.uid())));
+  }
+
+  /** Both late writes at once, and a leader that has no reason yet to look at the job again. */
+  @Test
+  void aCancelledCopyOfADoneJobIsNotTheLastWord() {
+    World world = new World(10, Samples.archivingAfter(20));
+    Job done = ended(world).get(0);
+    world.run(30);
+    hasLeft(world, done);
+    world.checker.userAborts(done.uid());
+    submitLateAsOlderVersion(world, done);
+    abortLateAsOlderVersion(world, done);
+    world.all().forEach(node -> world.crash(node, 500));
+    world.run(8);
+    for (String node : world.all()) {
+      world.abortAt(node, done.uid());
+    }
+    world.run(3);
+    world.lookClosely(done.uid());
+    world.run(40);
+    world.queryAll(done.uid());
+    world.run(3);
+    rulesHold(world);
+    assertEquals(JobStatus.Stance.DONE, world.checker.finalStance(done.uid()));
+    assertNull(world.state.get(Keys.job(done.uid())));
   }
 
   /**
--- a/src/test/java/eiderfork/core/UserRequestsTest.java
+++ b/src/test/java/eiderfork/core/UserRequestsTest.java
@@ -87,6 +87,18 @@
     assertEquals(JobStatus.Stance.DONE, answers.get(0).job().stance());
   }
 
+  /** An older version's late writes may have brought job and cancellation of a done job back. */
+  @Test
+  void aCancellationThatFindsTheJobArchivedIsAnsweredWithItsEnd() {
+    abort(Record.Alloc.EMPTY, 0);
+    Reply conflict =
+        new Reply.Conflict(ImmutableList.of(Keys.abort(JOB.uid()), Keys.ended(JOB.uid())));
+    assertEquals(new StateOp.Get(Keys.ended(JOB.uid())), next(conflict, lastCall));
+    Record ended = new Record.EndedJob(JobStatus.Stance.DONE, 2);
+    context.answered(lastCall, new Reply.Value(ended, 12));
+    assertEquals(JobStatus.Stance.DONE, answers.get(0).job().stance());
+  }
+
   private static final Job GANG = Samples.gang(2, 3, 1, 4, true);
 
   /** A gang comes to this node, which can't reach a leader; goes on until the version is read. */
