core: messages and limits are packages of their own

Need: core is one package of eighty files. Its inputs, effects, calls, replies and keys depend on nothing else in it, nor do token buckets and backoffs.

Change: eiderfork.core.message and eiderfork.core.limits, moved as they were and made public with their comments; no cycles. The scale run's emulated services use the core's token bucket in place of one of their own.

--- a/src/main/java/eiderfork/core/ClusterVersion.java
+++ b/src/main/java/eiderfork/core/ClusterVersion.java
@@ -1,6 +1,9 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.message.Keys;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
 import eiderfork.model.Record;
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/eiderfork/core/Context.java
+++ b/src/main/java/eiderfork/core/Context.java
@@ -1,6 +1,8 @@
 package eiderfork.core;
 
 import eiderfork.config.Settings;
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Reply;
 import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -2,6 +2,11 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.config.Settings;
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Input;
+import eiderfork.core.message.PeerView;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.UserAnswer;
 import eiderfork.model.Report;
 import java.util.ArrayDeque;
 import java.util.HashMap;
--- a/src/main/java/eiderfork/core/Forwards.java
+++ b/src/main/java/eiderfork/core/Forwards.java
@@ -1,6 +1,9 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.UserAnswer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/eiderfork/core/JobEntry.java
+++ b/src/main/java/eiderfork/core/JobEntry.java
@@ -1,6 +1,7 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.limits.Backoff;
 import eiderfork.model.AllocSize;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
--- a/src/main/java/eiderfork/core/JobTable.java
+++ b/src/main/java/eiderfork/core/JobTable.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.Interner;
 import com.google.common.collect.Interners;
+import eiderfork.core.limits.Backoff;
 import eiderfork.model.Job;
 import eiderfork.model.MachineType;
 import eiderfork.model.Record;
--- a/src/main/java/eiderfork/core/LeaseProxy.java
+++ b/src/main/java/eiderfork/core/LeaseProxy.java
@@ -1,6 +1,10 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Keys;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
 import eiderfork.model.Command;
 import eiderfork.model.Record;
 import eiderfork.model.Report;
--- a/src/main/java/eiderfork/core/Peers.java
+++ b/src/main/java/eiderfork/core/Peers.java
@@ -1,6 +1,9 @@
 package eiderfork.core;
 
 import eiderfork.config.Settings;
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.PeerView;
+import eiderfork.core.message.Reply;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Function;
--- a/src/main/java/eiderfork/core/ReadBarrier.java
+++ b/src/main/java/eiderfork/core/ReadBarrier.java
@@ -1,5 +1,8 @@
 package eiderfork.core;
 
+import eiderfork.core.message.Keys;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
--- a/src/main/java/eiderfork/core/StateGate.java
+++ b/src/main/java/eiderfork/core/StateGate.java
@@ -1,6 +1,10 @@
 package eiderfork.core;
 
 import eiderfork.config.Settings;
+import eiderfork.core.limits.TokenBucket;
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
 import java.util.ArrayDeque;
 import java.util.EnumMap;
 import java.util.LongSummaryStatistics;
--- a/src/main/java/eiderfork/core/Submissions.java
+++ b/src/main/java/eiderfork/core/Submissions.java
@@ -2,6 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import eiderfork.core.message.Keys;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
+import eiderfork.core.message.UserAnswer;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.JobStatus;
--- a/src/main/java/eiderfork/core/Term.java
+++ b/src/main/java/eiderfork/core/Term.java
@@ -1,6 +1,10 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.limits.Backoff;
+import eiderfork.core.message.Keys;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
 import eiderfork.model.Record;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/src/main/java/eiderfork/core/UserRequests.java
+++ b/src/main/java/eiderfork/core/UserRequests.java
@@ -1,5 +1,9 @@
 package eiderfork.core;
 
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Input;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.UserAnswer;
 import eiderfork.model.Job;
 import eiderfork.model.JobStatus;
 import java.util.function.Consumer;
--- a/src/main/java/eiderfork/core/WaitLimit.java
+++ b/src/main/java/eiderfork/core/WaitLimit.java
@@ -1,5 +1,6 @@
 package eiderfork.core;
 
+import eiderfork.core.message.UserAnswer;
 import java.util.function.Consumer;
 
 /** Refuses requests at once that would wait too long for their turn at the state service. */
--- a/src/main/java/eiderfork/core/WorkerControl.java
+++ b/src/main/java/eiderfork/core/WorkerControl.java
@@ -1,6 +1,8 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Reply;
 import eiderfork.model.Attempt;
 import eiderfork.model.Command;
 import eiderfork.model.MachineType;
--- a/src/main/java/eiderfork/core/Backoff.java
+++ b/src/main/java/eiderfork/core/limits/Backoff.java
@@ -1,26 +1,28 @@
-package eiderfork.core;
+package eiderfork.core.limits;
 
 import java.util.random.RandomGenerator;
 
 /** Growing, jittered pauses between tries. */
-final class Backoff {
+public final class Backoff {
   private final long firstMs;
   private final long mostMs;
   private int failures;
 
-  Backoff(long firstMs, long mostMs) {
+  /** Makes pauses that begin with about {@code firstMs} and double up to {@code mostMs}. */
+  public Backoff(long firstMs, long mostMs) {
     this.firstMs = firstMs;
     this.mostMs = mostMs;
   }
 
   /** The pause after one more failure. */
-  long next(RandomGenerator random) {
+  public long next(RandomGenerator random) {
     long base = Math.min(mostMs, firstMs << Math.min(failures, 16));
     failures++;
     return base / 2 + random.nextLong(base / 2 + 1);
   }
 
-  void reset() {
+  /** What was tried has worked. */
+  public void reset() {
     failures = 0;
   }
 }
--- a/src/main/java/eiderfork/core/TokenBucket.java
+++ b/src/main/java/eiderfork/core/limits/TokenBucket.java
@@ -1,39 +1,45 @@
-package eiderfork.core;
+package eiderfork.core.limits;
 
 /** The budget for one outside limit. */
-final class TokenBucket {
+public final class TokenBucket {
   private double perS;
   private double burst;
   private double tokens;
   private long atMs;
 
-  TokenBucket(double perS, double burst, long nowMs) {
+  /** Makes a full bucket of {@code burst} tokens that gains {@code perS} a second. */
+  public TokenBucket(double perS, double burst, long nowMs) {
     this.perS = perS;
     this.burst = burst;
     this.tokens = burst;
     this.atMs = nowMs;
   }
 
-  void rate(double newPerS, double newBurst) {
+  /** Changes the rate; what is saved stays as far as the new burst allows. */
+  public void rate(double newPerS, double newBurst) {
     perS = newPerS;
     burst = newBurst;
     tokens = Math.min(tokens, burst);
   }
 
-  double burst() {
+  /** The most tokens that are saved. */
+  public double burst() {
     return burst;
   }
 
-  double perS() {
+  /** The tokens gained in a second. */
+  public double perS() {
     return perS;
   }
 
-  boolean has(double n, long nowMs) {
+  /** Whether {@code n} tokens could be taken now, or all that can be saved where that is less. */
+  public boolean has(double n, long nowMs) {
     refill(nowMs);
     return tokens >= Math.min(n, burst);
   }
 
-  boolean take(double n, long nowMs) {
+  /** Takes {@code n} tokens where they are there; whether they were. */
+  public boolean take(double n, long nowMs) {
     if (!has(n, nowMs)) {
       return false;
     }
@@ -42,7 +48,7 @@
   }
 
   /** Gives up what is saved, after the other side said that it was too much. */
-  void drain(long nowMs) {
+  public void drain(long nowMs) {
     refill(nowMs);
     tokens = Math.min(tokens, 0);
   }
--- /dev/null
+++ b/src/main/java/eiderfork/core/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Limits on rates, and pauses between tries. */
+package eiderfork.core.limits;
--- a/src/main/java/eiderfork/core/CancellationNews.java
+++ b/src/main/java/eiderfork/core/message/CancellationNews.java
@@ -1,4 +1,4 @@
-package eiderfork.core;
+package eiderfork.core.message;
 
 import com.google.common.collect.ImmutableList;
 
@@ -27,7 +27,8 @@
   public static final CancellationNews NONE =
       new CancellationNews(0, 0, 0, ImmutableList.of(), false, 0, 0);
 
-  long upTo() {
+  /** The number of the last confirmation that the receiver knows with this message. */
+  public long upTo() {
     return after + uids.size();
   }
 }
--- a/src/main/java/eiderfork/core/Input.java
+++ b/src/main/java/eiderfork/core/message/Input.java
@@ -1,4 +1,4 @@
-package eiderfork.core;
+package eiderfork.core.message;
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.model.Job;
--- a/src/main/java/eiderfork/core/Keys.java
+++ b/src/main/java/eiderfork/core/message/Keys.java
@@ -1,4 +1,4 @@
-package eiderfork.core;
+package eiderfork.core.message;
 
 /** The keys in the state service. */
 public final class Keys {
@@ -19,24 +19,28 @@
 
   private Keys() {}
 
-  static String job(String uid) {
+  /** The key of a submission. */
+  public static String job(String uid) {
     return JOB + uid;
   }
 
-  static String alloc(String uid) {
+  /** The key of the leader's record of a job. */
+  public static String alloc(String uid) {
     return ALLOC + uid;
   }
 
-  static String abort(String uid) {
+  /** The key of a confirmed cancellation. */
+  public static String abort(String uid) {
     return ABORT + uid;
   }
 
-  static String ended(String uid) {
+  /** The key of the final state of an archived job. */
+  public static String ended(String uid) {
     return ENDED + uid;
   }
 
   /** What follows the first slash. */
-  static String tail(String key) {
+  public static String tail(String key) {
     return key.substring(key.indexOf('/') + 1);
   }
 }
--- a/src/main/java/eiderfork/core/PeerView.java
+++ b/src/main/java/eiderfork/core/message/PeerView.java
@@ -1,4 +1,4 @@
-package eiderfork.core;
+package eiderfork.core.message;
 
 /**
  * What a node tells its peers about itself.
--- a/src/main/java/eiderfork/core/Reply.java
+++ b/src/main/java/eiderfork/core/message/Reply.java
@@ -1,4 +1,4 @@
-package eiderfork.core;
+package eiderfork.core.message;
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.model.HostEntry;
@@ -14,12 +14,12 @@
   /** The other side refused; nothing was done. */
   record Refused(int status) implements Reply {
     /** The request itself is at fault, or larger than the other side takes; repeats are as well. */
-    boolean isMalformed() {
+    public boolean isMalformed() {
       return status == 400;
     }
 
     /** More was asked than the other side's limits allow. */
-    boolean isOverLimit() {
+    public boolean isOverLimit() {
       return status == 429;
     }
   }
--- a/src/main/java/eiderfork/core/StateOp.java
+++ b/src/main/java/eiderfork/core/message/StateOp.java
@@ -1,4 +1,4 @@
-package eiderfork.core;
+package eiderfork.core.message;
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.model.Record;
@@ -10,11 +10,13 @@
 
   /** A change: {@code record} null removes the key; lease 0 is none. */
   record Change(String key, Record record, long lease) {
-    static Change put(String key, Record record) {
+    /** Writes a key that hangs on no lease. */
+    public static Change put(String key, Record record) {
       return new Change(key, record, 0);
     }
 
-    static Change remove(String key) {
+    /** Removes a key. */
+    public static Change remove(String key) {
       return new Change(key, null, 0);
     }
   }
--- a/src/main/java/eiderfork/scale/EmulatedCloud.java
+++ b/src/main/java/eiderfork/scale/EmulatedCloud.java
@@ -1,6 +1,7 @@
 package eiderfork.scale;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.limits.TokenBucket;
 import eiderfork.model.HostEntry;
 import eiderfork.model.Machine;
 import eiderfork.model.MachineType;
@@ -77,7 +78,7 @@
   private final Set<String> closedZones = new HashSet<>();
   private final TreeMap<String, Rented> rented = new TreeMap<>();
   private final Map<String, ImmutableList<String>> answered = new HashMap<>();
-  private final RateLimit requests;
+  private final TokenBucket requests;
   private int lastNumber;
 
   EmulatedCloud(
@@ -92,7 +93,7 @@
     this.random = random;
     this.counters = counters;
     this.machines = machines;
-    requests = new RateLimit(settings.cloud().rps(), 2);
+    requests = new TokenBucket(settings.cloud().rps(), 2 * settings.cloud().rps(), Clock.nowMs());
     for (int i = 0; i < offered.size(); i++) {
       MachineType type = offered.get(i);
       types.put(type.name(), type);
--- a/src/main/java/eiderfork/scale/EmulatedState.java
+++ b/src/main/java/eiderfork/scale/EmulatedState.java
@@ -1,6 +1,7 @@
 package eiderfork.scale;
 
-import eiderfork.core.StateOp;
+import eiderfork.core.limits.TokenBucket;
+import eiderfork.core.message.StateOp;
 import eiderfork.net.HttpServer;
 import eiderfork.wire.BadMessage;
 import eiderfork.wire.StateServerWire;
@@ -50,8 +51,8 @@
   private final EventLoop loop;
   private final UniformRandomProvider random;
   private final CellCounters counters;
-  private final RateLimit requests;
-  private final RateLimit writes;
+  private final TokenBucket requests;
+  private final TokenBucket writes;
   private final TreeMap<String, Stored> keys = new TreeMap<>();
   private final Map<Long, Lease> leases = new HashMap<>();
   private final Deque<RawItem> log = new ArrayDeque<>();
@@ -68,8 +69,8 @@
     this.loop = loop;
     this.random = random;
     this.counters = counters;
-    requests = new RateLimit(limits.rps(), 1);
-    writes = new RateLimit(limits.writeRps(), 1);
+    requests = new TokenBucket(limits.rps(), limits.rps(), Clock.nowMs());
+    writes = new TokenBucket(limits.writeRps(), limits.writeRps(), Clock.nowMs());
   }
 
   /** Stores a value as if it had been written before the run. */
--- a/src/main/java/eiderfork/scale/PreloadedJobs.java
+++ b/src/main/java/eiderfork/scale/PreloadedJobs.java
@@ -1,7 +1,7 @@
 package eiderfork.scale;
 
 import com.google.common.collect.ImmutableList;
-import eiderfork.core.Keys;
+import eiderfork.core.message.Keys;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Priority;
--- a/src/main/java/eiderfork/wire/CloudWire.java
+++ b/src/main/java/eiderfork/wire/CloudWire.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
-import eiderfork.core.Reply;
+import eiderfork.core.message.Reply;
 import eiderfork.model.HostEntry;
 import eiderfork.model.Machine;
 import eiderfork.model.MachineType;
--- a/src/main/java/eiderfork/wire/PeerWire.java
+++ b/src/main/java/eiderfork/wire/PeerWire.java
@@ -1,11 +1,11 @@
 package eiderfork.wire;
 
 import com.google.common.collect.ImmutableList;
-import eiderfork.core.CancellationNews;
-import eiderfork.core.Input;
-import eiderfork.core.PeerView;
-import eiderfork.core.Reply;
-import eiderfork.core.UserAnswer;
+import eiderfork.core.message.CancellationNews;
+import eiderfork.core.message.Input;
+import eiderfork.core.message.PeerView;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.UserAnswer;
 import eiderfork.model.JobStatus;
 import java.nio.ByteBuffer;
 import java.util.List;
--- a/src/main/java/eiderfork/wire/Records.java
+++ b/src/main/java/eiderfork/wire/Records.java
@@ -5,7 +5,7 @@
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import com.google.common.primitives.Longs;
-import eiderfork.core.Keys;
+import eiderfork.core.message.Keys;
 import eiderfork.model.JobStatus;
 import eiderfork.model.Record;
 import java.util.ArrayList;
--- a/src/main/java/eiderfork/wire/StateServerWire.java
+++ b/src/main/java/eiderfork/wire/StateServerWire.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
-import eiderfork.core.StateOp;
+import eiderfork.core.message.StateOp;
 import eiderfork.model.Record;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
--- a/src/main/java/eiderfork/wire/StateWire.java
+++ b/src/main/java/eiderfork/wire/StateWire.java
@@ -4,8 +4,8 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
-import eiderfork.core.Reply;
-import eiderfork.core.StateOp;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
 
 /** What the state service is asked and says. */
 public final class StateWire {
--- a/src/main/java/eiderfork/wire/UserWire.java
+++ b/src/main/java/eiderfork/wire/UserWire.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableSet;
-import eiderfork.core.UserAnswer;
+import eiderfork.core.message.UserAnswer;
 import eiderfork.model.Job;
 import eiderfork.model.JobStatus;
 import eiderfork.model.Resources;
--- a/src/test/java/eiderfork/core/AllocRoomTest.java
+++ b/src/test/java/eiderfork/core/AllocRoomTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import eiderfork.core.limits.Backoff;
 import eiderfork.model.JobKind;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/eiderfork/core/AllocSizeTest.java
+++ b/src/test/java/eiderfork/core/AllocSizeTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.limits.Backoff;
+import eiderfork.core.message.StateOp;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Record;
--- a/src/test/java/eiderfork/core/BudgetTest.java
+++ b/src/test/java/eiderfork/core/BudgetTest.java
@@ -6,6 +6,12 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.config.Settings;
+import eiderfork.core.limits.Backoff;
+import eiderfork.core.limits.TokenBucket;
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Input;
+import eiderfork.core.message.StateOp;
+import eiderfork.core.message.UserAnswer;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Priority;
--- a/src/test/java/eiderfork/core/CheckerTest.java
+++ b/src/test/java/eiderfork/core/CheckerTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import eiderfork.core.message.UserAnswer;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.JobStatus;
--- a/src/test/java/eiderfork/core/FakeCloud.java
+++ b/src/test/java/eiderfork/core/FakeCloud.java
@@ -1,6 +1,7 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.message.Reply;
 import eiderfork.model.HostEntry;
 import eiderfork.model.Machine;
 import eiderfork.model.MachineType;
--- a/src/test/java/eiderfork/core/FakeState.java
+++ b/src/test/java/eiderfork/core/FakeState.java
@@ -1,6 +1,9 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.limits.TokenBucket;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
 import eiderfork.model.Record;
 import eiderfork.wire.StateWire;
 import java.util.ArrayList;
--- a/src/test/java/eiderfork/core/JobArchiveTest.java
+++ b/src/test/java/eiderfork/core/JobArchiveTest.java
@@ -8,6 +8,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.message.Keys;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.JobStatus;
--- a/src/test/java/eiderfork/core/ScenarioTest.java
+++ b/src/test/java/eiderfork/core/ScenarioTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import eiderfork.core.message.Keys;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.JobStatus.Stance;
--- a/src/test/java/eiderfork/core/UpgradeTest.java
+++ b/src/test/java/eiderfork/core/UpgradeTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import eiderfork.config.Settings.StateLimits;
+import eiderfork.core.message.Keys;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Record;
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -2,6 +2,12 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.config.Settings;
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Input;
+import eiderfork.core.message.Keys;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
+import eiderfork.core.message.UserAnswer;
 import eiderfork.model.Job;
 import eiderfork.model.Machine;
 import eiderfork.model.Record;
--- a/src/test/java/eiderfork/wire/ProductionFormsTest.java
+++ b/src/test/java/eiderfork/wire/ProductionFormsTest.java
@@ -5,11 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
-import eiderfork.core.CancellationNews;
-import eiderfork.core.Input;
-import eiderfork.core.PeerView;
-import eiderfork.core.Reply;
-import eiderfork.core.UserAnswer;
+import eiderfork.core.message.CancellationNews;
+import eiderfork.core.message.Input;
+import eiderfork.core.message.PeerView;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.UserAnswer;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.JobStatus;
--- a/src/test/java/eiderfork/wire/WireTest.java
+++ b/src/test/java/eiderfork/wire/WireTest.java
@@ -6,12 +6,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
-import eiderfork.core.CancellationNews;
-import eiderfork.core.Input;
-import eiderfork.core.PeerView;
-import eiderfork.core.Reply;
-import eiderfork.core.StateOp;
-import eiderfork.core.UserAnswer;
+import eiderfork.core.message.CancellationNews;
+import eiderfork.core.message.Input;
+import eiderfork.core.message.PeerView;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
+import eiderfork.core.message.UserAnswer;
 import eiderfork.model.Attempt;
 import eiderfork.model.Command;
 import eiderfork.model.Job;
