Scale run: jobs that are archived from the start

Need: whether a takeover depends on archived jobs is measured with as many of them as there will be. Change: preloaded_archived_jobs.

--- a/src/main/java/eiderfork/scale/Cell.java
+++ b/src/main/java/eiderfork/scale/Cell.java
@@ -202,7 +202,8 @@
               member.name(), member.zone(), member.publicAddress(), directory, command, text));
       controllerIndex.put(member.name(), i);
     }
-    PreloadedJobs.store(state, settings.preloadedEndedJobs(), random);
+    PreloadedJobs.storeEnded(state, settings.preloadedEndedJobs(), random);
+    PreloadedJobs.storeArchived(state, settings.preloadedArchivedJobs(), random);
   }
 
   private void listenForWorker(Endpoint any) throws InterruptedException {
--- a/src/main/java/eiderfork/scale/PreloadedJobs.java
+++ b/src/main/java/eiderfork/scale/PreloadedJobs.java
@@ -4,6 +4,7 @@
 import eiderfork.core.message.Keys;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
+import eiderfork.model.JobStatus;
 import eiderfork.model.Priority;
 import eiderfork.model.Record;
 import eiderfork.model.Resources;
@@ -15,13 +16,24 @@
   /** Above all ids that users of a run draw. */
   private static final long FIRST_ID = 2_000_000_000_000_000L;
 
-  private static final long IDS = 1_000_000_000_000L;
+  private static final long IDS = 1_000_000_000_000_000L;
 
   private PreloadedJobs() {}
 
-  static void store(EmulatedState state, int count, UniformRandomProvider random) {
+  private static String uid(UniformRandomProvider random) {
+    return "run-" + (FIRST_ID + random.nextLong(IDS));
+  }
+
+  static void storeArchived(EmulatedState state, int count, UniformRandomProvider random) {
+    String value = StateServerWire.value(new Record.EndedJob(JobStatus.Stance.DONE, 1));
+    for (int i = 0; i < count; i++) {
+      state.preload(Keys.ENDED + uid(random), value);
+    }
+  }
+
+  static void storeEnded(EmulatedState state, int count, UniformRandomProvider random) {
     for (int i = 0; i < count; i++) {
-      String uid = "run-" + (FIRST_ID + random.nextLong(IDS) * 1000 + i % 1000);
+      String uid = uid(random);
       Record.Alloc alloc =
           new Record.Alloc(1, true, ImmutableList.of(), ImmutableList.of(new Record.Range(0, 0)));
       state.preload(Keys.JOB + uid, StateServerWire.value(new Record.JobSpec(job(uid))));
--- a/src/main/java/eiderfork/scale/ScaleFile.java
+++ b/src/main/java/eiderfork/scale/ScaleFile.java
@@ -79,6 +79,7 @@
   private void check(ScaleSettings it) throws BadSettings {
     positive(it.runS(), "run_s");
     atLeast(it.preloadedEndedJobs(), 0, "preloaded_ended_jobs");
+    atLeast(it.preloadedArchivedJobs(), 0, "preloaded_archived_jobs");
     checkCells(it.cells());
     positive(it.workers().reportS(), "workers.report_s");
     atLeast(it.workers().leaseS(), 2 * it.workers().reportS(), "workers.lease_s");
--- a/src/main/java/eiderfork/scale/ScaleSettings.java
+++ b/src/main/java/eiderfork/scale/ScaleSettings.java
@@ -9,12 +9,14 @@
  * @param runS how long load is offered, all troubles included
  * @param cells the regions, each with its own controllers, state service, cloud and users
  * @param preloadedEndedJobs jobs per cell that the state service holds as done from the start
+ * @param preloadedArchivedJobs further ones that are archived already
  */
 public record ScaleSettings(
     long seed,
     double runS,
     Cells cells,
     int preloadedEndedJobs,
+    int preloadedArchivedJobs,
     Workers workers,
     State state,
     Cloud cloud,
