--- /dev/null
+++ b/src/main/java/eiderfork/core/ReportReconciler.java
@@ -0,0 +1,154 @@
+package eiderfork.core;
+
+import eiderfork.model.Attempt;
+import eiderfork.model.MachineType;
+import eiderfork.model.TaskReport;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Brings reservations up to what workers report, and settles those that a report proves over. */
+final class ReportReconciler {
+  private static final Logger LOG = LoggerFactory.getLogger(ReportReconciler.class);
+
+  /** Jobs that must fail on a machine, and end well elsewhere or not have run, to condemn it. */
+  private static final int FAULTY_ERRORS = 2;
+
+  /** A job that fails on this many machines is itself at fault. */
+  private static final int JOB_FAULT_MACHINES = 3;
+
+  private final Context context;
+  private final Term term;
+  private final JobTable jobs;
+  private final Fleet fleet;
+  private final Runnable kick;
+
+  ReportReconciler(Context context, Term term, JobTable jobs, Fleet fleet, Runnable kick) {
+    this.context = context;
+    this.term = term;
+    this.jobs = jobs;
+    this.fleet = fleet;
+    this.kick = kick;
+  }
+
+  /** Brings the reservations up to what the newest report shows. */
+  void reconcile(MachineEntry m) {
+    if (m.report == null) {
+      return;
+    }
+    Map<Attempt, TaskReport> shown = new HashMap<>();
+    for (TaskReport task : m.tasks()) {
+      shown.put(task.attempt(), task);
+    }
+    for (Reservation p : List.copyOf(m.placed)) {
+      TaskReport task = shown.get(p.id());
+      if (task == null) {
+        absent(m, p);
+      } else if (task.ended()) {
+        ended(m, p, task);
+      } else {
+        if (task.state() == TaskReport.State.RUNNING && p.runningSinceMs == 0) {
+          p.runningSinceMs = context.nowMs;
+          // A new leader learns from what runs which images a machine has.
+          noteImage(m, p);
+          m.fetchedAtMs.put(p.job.job.image(), context.nowMs);
+        }
+        if (task.state() == TaskReport.State.FETCHING
+            && !m.fetchedAtMs.containsKey(p.job.job.image())) {
+          m.images.remove(p.job.job.image());
+          noteImage(m, p);
+        }
+        p.seen = task.state();
+        if (p.job.gang != null) {
+          reconcileGang(m, p);
+        }
+      }
+    }
+  }
+
+  private static void reconcileGang(MachineEntry m, Reservation p) {
+    if (p.seen == TaskReport.State.SAVING && p.wanted()) {
+      // An older leader has begun to stop the gang; tasks that are not told in time lose the save.
+      p.job.gang.save();
+    } else if (m.report.noticeS() != null && p.seen == TaskReport.State.RUNNING && p.wanted()) {
+      p.job.gang.machineNoticed(m.report.noticeS());
+    }
+  }
+
+  private void absent(MachineEntry m, Reservation p) {
+    if (!p.committed) {
+      return;
+    }
+    boolean surely =
+        m.report.session() > p.sentSession && p.sentSession > 0
+            || m.report.token() > Math.max(p.sentToken, term.firstToken() - 1);
+    if (!surely) {
+      if ((!p.wanted() || p.seen != null) && p.sentToken >= m.token) {
+        // Outdates the unanswered start, so that its absence can be believed.
+        raise(m);
+      }
+      return;
+    }
+    if (!p.wanted() || p.seen != null) {
+      jobs.release(p, false);
+      kick.run();
+    }
+  }
+
+  private void ended(MachineEntry m, Reservation p, TaskReport task) {
+    JobEntry job = p.job;
+    switch (task.cause()) {
+      case DONE -> {
+        m.errors.clear();
+        jobs.release(p, true);
+      }
+      case ERROR -> {
+        LOG.info("{} failed on {}", p.id(), m.name);
+        job.failures++;
+        job.failedOn.add(m.name);
+        if (job.failedOn.size() < JOB_FAULT_MACHINES) {
+          m.errors.add(job.job.uid());
+        } else {
+          // The job fails everywhere: no machine is to blame for it.
+          fleet.machines().forEach(other -> other.errors.remove(job.job.uid()));
+        }
+        if (m.errors.size() >= FAULTY_ERRORS) {
+          LOG.info("machine {} is faulty", m.name);
+          m.faulty = true;
+        }
+        job.notBeforeMs =
+            context.nowMs + (context.stepMs() << Math.min(5, Math.max(0, job.failures - 2)));
+        jobs.release(p, false);
+      }
+      case NO_ROOM, BUSY, UNKNOWN -> {
+        LOG.info("{} refused on {}: {}", p.id(), m.name, task.cause());
+        job.notBeforeMs = context.nowMs + context.stepMs();
+        jobs.release(p, false);
+      }
+      case STOPPED, PEERS, INCOMPLETE -> jobs.release(p, false);
+    }
+    kick.run();
+  }
+
+  /** Raises the token, so that no unanswered command is executed any more. */
+  void raise(MachineEntry m) {
+    m.token = Math.max(m.token, term.firstToken()) + 1;
+    m.urgent = true;
+  }
+
+  /** The machine is given this task's image, or shows that it has it. */
+  void noteImage(MachineEntry m, Reservation p) {
+    MachineType type = fleet.type(m);
+    String image = p.job.job.image();
+    if (type == null || image == null) {
+      return;
+    }
+    if (!m.images.containsKey(image)) {
+      long fetchMs = (long) (1000 * p.job.job.imageGb() / type.fetchGbPerS());
+      m.fetchedAtMs.put(image, context.nowMs + fetchMs);
+    }
+    m.touchImage(image, p.job.job.imageGb(), type.cacheGb());
+  }
+}
--- a/src/main/java/eiderfork/core/WorkerControl.java
+++ b/src/main/java/eiderfork/core/WorkerControl.java
@@ -5,14 +5,11 @@
 import eiderfork.core.message.Reply;
 import eiderfork.model.Attempt;
 import eiderfork.model.Command;
-import eiderfork.model.MachineType;
 import eiderfork.model.Report;
 import eiderfork.model.TaskReport;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -24,12 +21,6 @@
 final class WorkerControl {
   private static final Logger LOG = LoggerFactory.getLogger(WorkerControl.class);
 
-  /** Jobs that must fail on a machine, and end well elsewhere or not have run, to condemn it. */
-  private static final int FAULTY_ERRORS = 2;
-
-  /** A job that fails on this many machines is itself at fault. */
-  private static final int JOB_FAULT_MACHINES = 3;
-
   private final Context context;
   private final Term term;
   private final JobTable jobs;
@@ -37,7 +28,7 @@
   private final Cancellations cancellations;
   private final MachineLiveness liveness;
   private final LeaseLapses lapses;
-  private final Runnable kick;
+  private final ReportReconciler reconciler;
   private boolean rebuilt;
   private long electedMs;
 
@@ -57,7 +48,7 @@
     this.cancellations = cancellations;
     this.liveness = liveness;
     this.lapses = lapses;
-    this.kick = kick;
+    reconciler = new ReportReconciler(context, term, jobs, fleet, kick);
   }
 
   void elected() {
@@ -66,6 +57,11 @@
     electedMs = context.nowMs;
   }
 
+  /** Brings the reservations on a machine up to what its newest report shows. */
+  void reconcile(MachineEntry m) {
+    reconciler.reconcile(m);
+  }
+
   void rebuilt() {
     rebuilt = true;
   }
@@ -148,116 +144,11 @@
       m.answeredMs = Math.max(m.answeredMs, context.nowMs);
     }
     if (rebuilt) {
-      reconcile(m);
+      reconciler.reconcile(m);
     }
     return true;
   }
 
-  /** Brings the reservations up to what the newest report shows. */
-  void reconcile(MachineEntry m) {
-    if (m.report == null) {
-      return;
-    }
-    Map<Attempt, TaskReport> shown = new HashMap<>();
-    for (TaskReport task : m.tasks()) {
-      shown.put(task.attempt(), task);
-    }
-    for (Reservation p : List.copyOf(m.placed)) {
-      TaskReport task = shown.get(p.id());
-      if (task == null) {
-        absent(m, p);
-      } else if (task.ended()) {
-        ended(m, p, task);
-      } else {
-        if (task.state() == TaskReport.State.RUNNING && p.runningSinceMs == 0) {
-          p.runningSinceMs = context.nowMs;
-          // A new leader learns from what runs which images a machine has.
-          noteImage(m, p);
-          m.fetchedAtMs.put(p.job.job.image(), context.nowMs);
-        }
-        if (task.state() == TaskReport.State.FETCHING
-            && !m.fetchedAtMs.containsKey(p.job.job.image())) {
-          m.images.remove(p.job.job.image());
-          noteImage(m, p);
-        }
-        p.seen = task.state();
-        if (p.job.gang != null) {
-          reconcileGang(m, p);
-        }
-      }
-    }
-  }
-
-  private static void reconcileGang(MachineEntry m, Reservation p) {
-    if (p.seen == TaskReport.State.SAVING && p.wanted()) {
-      // An older leader has begun to stop the gang; tasks that are not told in time lose the save.
-      p.job.gang.save();
-    } else if (m.report.noticeS() != null && p.seen == TaskReport.State.RUNNING && p.wanted()) {
-      p.job.gang.machineNoticed(m.report.noticeS());
-    }
-  }
-
-  private void absent(MachineEntry m, Reservation p) {
-    if (!p.committed) {
-      return;
-    }
-    boolean surely =
-        m.report.session() > p.sentSession && p.sentSession > 0
-            || m.report.token() > Math.max(p.sentToken, term.firstToken() - 1);
-    if (!surely) {
-      if ((!p.wanted() || p.seen != null) && p.sentToken >= m.token) {
-        // Outdates the unanswered start, so that its absence can be believed.
-        raise(m);
-      }
-      return;
-    }
-    if (!p.wanted() || p.seen != null) {
-      jobs.release(p, false);
-      kick.run();
-    }
-  }
-
-  private void ended(MachineEntry m, Reservation p, TaskReport task) {
-    JobEntry job = p.job;
-    switch (task.cause()) {
-      case DONE -> {
-        m.errors.clear();
-        jobs.release(p, true);
-      }
-      case ERROR -> {
-        LOG.info("{} failed on {}", p.id(), m.name);
-        job.failures++;
-        job.failedOn.add(m.name);
-        if (job.failedOn.size() < JOB_FAULT_MACHINES) {
-          m.errors.add(job.job.uid());
-        } else {
-          // The job fails everywhere: no machine is to blame for it.
-          fleet.machines().forEach(other -> other.errors.remove(job.job.uid()));
-        }
-        if (m.errors.size() >= FAULTY_ERRORS) {
-          LOG.info("machine {} is faulty", m.name);
-          m.faulty = true;
-        }
-        job.notBeforeMs =
-            context.nowMs + (context.stepMs() << Math.min(5, Math.max(0, job.failures - 2)));
-        jobs.release(p, false);
-      }
-      case NO_ROOM, BUSY, UNKNOWN -> {
-        LOG.info("{} refused on {}: {}", p.id(), m.name, task.cause());
-        job.notBeforeMs = context.nowMs + context.stepMs();
-        jobs.release(p, false);
-      }
-      case STOPPED, PEERS, INCOMPLETE -> jobs.release(p, false);
-    }
-    kick.run();
-  }
-
-  /** Raises the token, so that no unanswered command is executed any more. */
-  private void raise(MachineEntry m) {
-    m.token = Math.max(m.token, term.firstToken()) + 1;
-    m.urgent = true;
-  }
-
   /** The commands that a worker needs now. */
   private ImmutableList<Command> commands(MachineEntry m) {
     ImmutableList.Builder<Command> list = ImmutableList.builder();
@@ -297,7 +188,7 @@
           list.add(new Command.Run(p.id()));
           p.sentToken = m.token;
           p.sentSession = m.session();
-          noteImage(m, p);
+          reconciler.noteImage(m, p);
         }
       }
     }
@@ -305,19 +196,6 @@
     return list.build();
   }
 
-  private void noteImage(MachineEntry m, Reservation p) {
-    MachineType type = fleet.type(m);
-    String image = p.job.job.image();
-    if (type == null || image == null) {
-      return;
-    }
-    if (!m.images.containsKey(image)) {
-      long fetchMs = (long) (1000 * p.job.job.imageGb() / type.fetchGbPerS());
-      m.fetchedAtMs.put(image, context.nowMs + fetchMs);
-    }
-    m.touchImage(image, p.job.job.imageGb(), type.cacheGb());
-  }
-
   void tick() {
     // Every worker turns to a new leader at once, and commands go out beside that; without a bound
     // on them the sockets ran out, and nobody could connect.
@@ -419,7 +297,7 @@
       // Unanswered commands may be executed yet; a higher token ends that.
       m.unanswered++;
       if (token > 0) {
-        raise(m);
+        reconciler.raise(m);
         m.urgent = false;
       }
       m.commandNotBeforeMs =
--- a/src/main/java/eiderfork/scale/Cell.java
+++ b/src/main/java/eiderfork/scale/Cell.java
@@ -1,6 +1,5 @@
 package eiderfork.scale;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import eiderfork.config.Settings.Endpoint;
 import eiderfork.model.Attempt;
@@ -8,7 +7,6 @@
 import eiderfork.model.JobKind;
 import eiderfork.model.Machine;
 import eiderfork.model.MachineType;
-import eiderfork.model.Resources;
 import eiderfork.model.TaskId;
 import eiderfork.model.Team;
 import eiderfork.net.HttpServer;
@@ -46,11 +44,6 @@
   /** Addresses beyond the workers' number, for machines that replace others. */
   private static final double SPARE_ADDRESSES = 0.3;
 
-  /** A team's limit and guarantee, as multiples of an equal share of the cell. */
-  private static final double LIMIT_SHARES = 2;
-
-  private static final double GUARANTEE_SHARES = 0.5;
-
   /** Services younger than this are not counted as missing. */
   private static final long YOUNG_MS = 15_000;
 
@@ -100,6 +93,7 @@
   private final EmulatedState state;
   private final EmulatedCloud cloud;
   private final EmulatedUsers users;
+  private final CellPlan plan;
   private final ImmutableMap<String, Team> teams;
   private final Map<String, HollowWorker> workers = new LinkedHashMap<>();
   private final Map<String, HollowWorker> byAddress = new HashMap<>();
@@ -118,62 +112,14 @@
     this.number = number;
     loop = group.next();
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed() * 1000 + number);
-    teams = teams(settings);
+    plan = new CellPlan(settings, number);
+    teams = plan.teams();
     checker = new SafetyChecker((long) (1000 * settings.workers().cancelS()), teams);
     state = new EmulatedState(settings.state(), loop, random, counters);
-    cloud = new EmulatedCloud(settings, types(settings), loop, random, counters, this);
+    cloud = new EmulatedCloud(settings, plan.types(), loop, random, counters, this);
     users = new EmulatedUsers(this, settings);
   }
 
-  private String zone(int index) {
-    return "region-" + number + "-zone-" + index;
-  }
-
-  private ImmutableList<MachineType> types(ScaleSettings run) {
-    ImmutableList.Builder<String> zones = ImmutableList.builder();
-    for (int i = 0; i < run.cells().zones(); i++) {
-      zones.add(zone(i));
-    }
-    ImmutableList.Builder<MachineType> types = ImmutableList.builder();
-    for (ScaleSettings.MachineKind it : run.machineTypes()) {
-      types.add(
-          new MachineType(
-              it.name(),
-              new Resources(it.cpus(), it.gpus(), it.ramGb()),
-              it.cacheGb(),
-              it.fetchGbPerS(),
-              it.price(),
-              it.price(),
-              it.bootS(),
-              zones.build()));
-    }
-    return types.build();
-  }
-
-  private static ImmutableMap<String, Team> teams(ScaleSettings run) {
-    double cpus = 0;
-    double gpus = 0;
-    for (ScaleSettings.MachineKind it : run.machineTypes()) {
-      cpus += it.cpus() * it.share() * run.cells().workers();
-      gpus += it.gpus() * it.share() * run.cells().workers();
-    }
-    double cpuShare = Math.ceil(cpus / run.cells().teams());
-    double gpuShare = Math.ceil(gpus / run.cells().teams());
-    ImmutableMap.Builder<String, Team> teams = ImmutableMap.builder();
-    for (int i = 0; i < run.cells().teams(); i++) {
-      String name = "team-" + i;
-      teams.put(
-          name,
-          new Team(
-              name,
-              cpuShare * GUARANTEE_SHARES,
-              cpuShare * LIMIT_SHARES,
-              gpuShare * GUARANTEE_SHARES,
-              gpuShare * LIMIT_SHARES));
-    }
-    return teams.buildOrThrow();
-  }
-
   // From the run's own thread.
 
   /** Opens the services' addresses and makes the controllers, without starting them. */
@@ -188,7 +134,7 @@
     }
     List<ControllerSettings.Member> members = new ArrayList<>();
     for (int i = 0; i < settings.cells().controllers(); i++) {
-      String zone = zone(i % settings.cells().zones());
+      String zone = plan.zone(i % settings.cells().zones());
       members.add(
           new ControllerSettings.Member(
               "region-" + number + "-controller-" + i, zone, ports.next(), ports.next()));
@@ -330,15 +276,15 @@
 
   /** The first zone's machines are gone. */
   void closeZone() {
-    cloud.closeZone(zone(0));
+    cloud.closeZone(plan.zone(0));
   }
 
   void openZone() {
-    cloud.openZone(zone(0));
+    cloud.openZone(plan.zone(0));
   }
 
   boolean isInClosedZone(ControllerProcess controller) {
-    return controller.zone().equals(zone(0));
+    return controller.zone().equals(plan.zone(0));
   }
 
   // What the parts of the cell tell it.
--- a/src/main/java/eiderfork/scale/ScaleRun.java
+++ b/src/main/java/eiderfork/scale/ScaleRun.java
@@ -11,7 +11,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,10 +24,6 @@
   private static final long PROGRESS_MS = 5000;
   private static final long START_MS = 30_000;
 
-  private record Restart(ControllerProcess controller, long atMs) {}
-
-  private record Reopening(Cell cell, String kind, long atMs) {}
-
   /** What was counted up to a moment, for the difference over a phase. */
   private record Snapshot(
       CellCounters counters, double[] cpuS, long atMs, double ownCpuS, CpuTimes machine) {}
@@ -40,9 +35,7 @@
   private final Path directory;
   private final List<Cell> cells = new ArrayList<>();
   private final List<ScaleReport.Phase> phases = new ArrayList<>();
-  private final List<Restart> restarts = new ArrayList<>();
-  private final List<Reopening> reopenings = new ArrayList<>();
-  private final List<ScaleSettings.Trouble> troubles;
+  private final TroubleMaker troubles;
   private final Map<ControllerProcess, Double> mostMemoryMb = new HashMap<>();
   private final Map<ControllerProcess, Integer> endedByItself = new HashMap<>();
   private List<Snapshot> phaseBegan;
@@ -59,8 +52,7 @@
     this.command = command;
     this.directory = directory;
     this.progress = progress;
-    troubles = new ArrayList<>(settings.troubles());
-    troubles.sort(Comparator.comparingDouble(ScaleSettings.Trouble::atS));
+    troubles = new TroubleMaker(settings.troubles(), cells);
   }
 
   /**
@@ -200,8 +192,7 @@
     while (elapsedS() < untilS) {
       Thread.sleep(SAMPLE_MS);
       sample();
-      makeTroubles();
-      undoTroubles();
+      troubles.tick(elapsedS());
       if (progress != null && nowMs() - toldMs > PROGRESS_MS) {
         toldMs = nowMs();
         tell(phase);
@@ -215,7 +206,7 @@
   }
 
   /** Runs something on a cell's own thread. */
-  private static <T> T on(Cell cell, Callable<T> what) throws InterruptedException {
+  static <T> T on(Cell cell, Callable<T> what) throws InterruptedException {
     try {
       return cell.loop.submit(what).get();
     } catch (ExecutionException e) {
@@ -242,79 +233,13 @@
   private void sample() throws IOException {
     for (ControllerProcess controller : controllers()) {
       mostMemoryMb.merge(controller, controller.memoryMb(), Math::max);
-      boolean killed = restarts.stream().anyMatch(it -> it.controller == controller);
-      if (!controller.isAlive() && !killed) {
+      if (!controller.isAlive() && !troubles.isDown(controller)) {
         endedByItself.merge(controller, 1, Integer::sum);
         controller.start();
       }
     }
   }
 
-  // Troubles.
-
-  private void makeTroubles() throws InterruptedException {
-    while (!troubles.isEmpty() && troubles.get(0).atS() <= elapsedS()) {
-      ScaleSettings.Trouble trouble = troubles.remove(0);
-      Cell cell = cells.get(trouble.cell());
-      on(
-          cell,
-          () -> {
-            cell.troubleBegins(trouble);
-            return null;
-          });
-      make(trouble, cell);
-    }
-  }
-
-  private void make(ScaleSettings.Trouble trouble, Cell cell) throws InterruptedException {
-    switch (trouble.kind()) {
-      case "leader" -> kill(cell.controllers().get(on(cell, cell::leader)), trouble);
-      case "controllers" -> cell.controllers().forEach(each -> kill(each, trouble));
-      case "rack" -> cell.loop.execute(() -> cell.cutRack(true));
-      case "zone" -> {
-        cell.loop.execute(cell::closeZone);
-        cell.controllers().stream()
-            .filter(cell::isInClosedZone)
-            .forEach(each -> kill(each, trouble));
-      }
-      default -> throw new IllegalStateException(trouble.kind());
-    }
-    if (trouble.kind().equals("rack") || trouble.kind().equals("zone")) {
-      reopenings.add(new Reopening(cell, trouble.kind(), untilMs(trouble)));
-    }
-  }
-
-  private static long untilMs(ScaleSettings.Trouble trouble) {
-    return nowMs() + (long) (1000 * trouble.forS());
-  }
-
-  private void kill(ControllerProcess controller, ScaleSettings.Trouble trouble) {
-    restarts.add(new Restart(controller, untilMs(trouble)));
-    controller.kill();
-  }
-
-  private void undoTroubles() throws IOException {
-    for (Restart it : List.copyOf(restarts)) {
-      if (nowMs() >= it.atMs && !it.controller.isAlive()) {
-        it.controller.start();
-        restarts.remove(it);
-      }
-    }
-    for (Reopening it : List.copyOf(reopenings)) {
-      if (nowMs() >= it.atMs) {
-        it.cell.loop.execute(
-            () -> {
-              if (it.kind.equals("rack")) {
-                it.cell.cutRack(false);
-              } else {
-                it.cell.openZone();
-              }
-            });
-        reopenings.remove(it);
-      }
-    }
-  }
-
   // Figures.
 
   private List<Snapshot> snapshots() throws IOException, InterruptedException {
