A new leader keeps of ended jobs what memory has room for

Change: jobs are read a page at a time, each with its alloc records, and ended ones past most-ended-jobs are let go of at once; they are answered for from their records.

--- a/src/main/java/eiderfork/core/CommittedState.java
+++ b/src/main/java/eiderfork/core/CommittedState.java
@@ -1,10 +1,12 @@
 package eiderfork.core;
 
+import com.google.common.collect.ImmutableList;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
 import eiderfork.model.Job;
 import eiderfork.model.Record;
+import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -16,14 +18,18 @@
   private static final Logger LOG = LoggerFactory.getLogger(CommittedState.class);
 
   /** Cancellations come first: no worker's lease is renewed before they are known. */
-  private static final String[] REBUILT_FROM = {
-    Keys.ABORT, Keys.VERSION, Keys.TYPES, Keys.JOB, Keys.ALLOC, Keys.RENT, Keys.RETURN
-  };
+  private static final ImmutableList<String> READ_BEFORE_JOBS =
+      ImmutableList.of(Keys.ABORT, Keys.VERSION, Keys.TYPES);
+
+  private static final ImmutableList<String> READ_AFTER_JOBS =
+      ImmutableList.of(Keys.RENT, Keys.RETURN);
 
   private final Context context;
   private final StateGate gate;
   private final Term term;
   private final StateReader reader;
+  private final JobPages pages;
+  private final EndedJobSweep sweep;
   private final JobTable jobs;
   private final Fleet fleet;
   private final Cloud cloud;
@@ -43,6 +49,8 @@
       StateGate gate,
       Term term,
       StateReader reader,
+      JobPages pages,
+      EndedJobSweep sweep,
       JobTable jobs,
       Fleet fleet,
       Cloud cloud,
@@ -56,6 +64,8 @@
     this.gate = gate;
     this.term = term;
     this.reader = reader;
+    this.pages = pages;
+    this.sweep = sweep;
     this.jobs = jobs;
     this.fleet = fleet;
     this.cloud = cloud;
@@ -69,35 +79,68 @@
 
   /** Reads everything that was committed in earlier terms, and follows what comes. */
   void rebuild() {
-    rebuild(0, term.number(), -1);
+    long number = term.number();
+    readAll(
+        READ_BEFORE_JOBS,
+        number,
+        revision ->
+            rebuildJobs(
+                "",
+                number,
+                () -> readAll(READ_AFTER_JOBS, number, later -> allRead(number, revision))));
   }
 
-  private void rebuild(int part, long number, long revision) {
-    if (part == REBUILT_FROM.length) {
-      readBarrier.start(revision);
-      jobs.noteImages(fleet);
-      LOG.info("rebuilt: {} jobs, {} machines", jobs.size(), fleet.machines().size());
-      rebuilt.run();
-      follow(Keys.JOB, number, revision);
-      follow(Keys.ABORT, number, revision);
-      kick.run();
-      return;
-    }
+  /** Reads the keys under one prefix after the other; {@code then} takes the first revision. */
+  private void readAll(ImmutableList<String> prefixes, long number, LongConsumer then) {
+    String prefix = prefixes.get(0);
+    ImmutableList<String> others = prefixes.subList(1, prefixes.size());
     long askedMs = context.nowMs;
     reader.scan(
-        REBUILT_FROM[part],
+        prefix,
         "",
         number,
         this::restore,
-        seen -> {
-          if (REBUILT_FROM[part].equals(Keys.ABORT)) {
+        revision -> {
+          if (prefix.equals(Keys.ABORT)) {
             // Pages are read one after the other, so only the first moment is sure.
             cancellations.caughtUp(askedMs);
           }
-          rebuild(part + 1, number, revision < 0 ? seen : revision);
+          if (others.isEmpty()) {
+            then.accept(revision);
+          } else {
+            readAll(others, number, later -> then.accept(revision));
+          }
         });
   }
 
+  /** Reads jobs a page at a time, and keeps of those that are over what memory has room for. */
+  private void rebuildJobs(String after, long number, Runnable then) {
+    pages.read(
+        after,
+        number,
+        Urgency.START,
+        page -> {
+          page.jobs().forEach(this::restore);
+          page.allocs().forEach(this::restore);
+          sweep.trim(page, after);
+          if (page.next() == null) {
+            then.run();
+          } else {
+            rebuildJobs(page.next(), number, then);
+          }
+        });
+  }
+
+  private void allRead(long number, long revision) {
+    readBarrier.start(revision);
+    jobs.noteImages(fleet);
+    LOG.info("rebuilt: {} jobs, {} machines", jobs.size(), fleet.machines().size());
+    rebuilt.run();
+    follow(Keys.JOB, number, revision);
+    follow(Keys.ABORT, number, revision);
+    kick.run();
+  }
+
   private void restore(Reply.Item item) {
     Record record = item.record();
     if (record instanceof Record.Unreadable it) {
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -49,6 +49,7 @@
   private final UserRequests users;
   private final StateReader reader;
   private final JobArchive archive;
+  private final EndedJobSweep sweep;
   private final CommittedState committed;
 
   private boolean rebuilt;
@@ -109,13 +110,17 @@
             cancellations,
             version,
             this::kick);
-    archive = new JobArchive(context, gate, term, version, jobs, cancellations);
+    JobPages pages = new JobPages(reader);
+    sweep = new EndedJobSweep(context, term, jobs, fleet, cancellations, pages);
+    archive = new JobArchive(context, gate, term, version, jobs, cancellations, sweep);
     committed =
         new CommittedState(
             context,
             gate,
             term,
             reader,
+            pages,
+            sweep,
             jobs,
             fleet,
             cloud,
@@ -251,6 +256,7 @@
         version.tick();
         cloud.tick();
         archive.tick();
+        sweep.tick();
         if (context.nowMs >= nextPlanMs && !fleet.types().isEmpty()) {
           nextPlanMs = context.nowMs + context.stepMs();
           planner.plan();
@@ -392,6 +398,7 @@
     readBarrier.stop();
     cancellations.forget();
     archive.clear();
+    sweep.clear();
     jobs.clear();
     fleet.clear();
     cloud.clear();
--- a/src/main/java/eiderfork/core/EndedJobs.java
+++ b/src/main/java/eiderfork/core/EndedJobs.java
@@ -23,6 +23,10 @@
     jobs.clear();
   }
 
+  boolean contains(JobEntry entry) {
+    return jobs.containsKey(entry.job.uid());
+  }
+
   int size() {
     return jobs.size();
   }
--- a/src/main/java/eiderfork/core/JobArchive.java
+++ b/src/main/java/eiderfork/core/JobArchive.java
@@ -34,6 +34,7 @@
   private final ClusterVersion version;
   private final JobTable jobs;
   private final Cancellations cancellations;
+  private final EndedJobSweep sweep;
 
   private int mostPerBatch;
   private boolean moving;
@@ -48,13 +49,15 @@
       Term term,
       ClusterVersion version,
       JobTable jobs,
-      Cancellations cancellations) {
+      Cancellations cancellations,
+      EndedJobSweep sweep) {
     this.context = context;
     this.gate = gate;
     this.term = term;
     this.version = version;
     this.jobs = jobs;
     this.cancellations = cancellations;
+    this.sweep = sweep;
     mostPerBatch = context.settings.alwaysTxnOps() / MOST_CHANGES_PER_JOB;
   }
 
@@ -95,7 +98,9 @@
 
   private List<JobEntry> due() {
     long stayMs = (long) (1000 * context.settings.operator().endedJobsStayS());
-    int excess = jobs.ended().size() - context.settings.operator().mostEndedJobs();
+    // While some are not in memory for want of room, all that are there make room for them.
+    int most = sweep.isOpen() ? 0 : context.settings.operator().mostEndedJobs();
+    int excess = jobs.ended().size() - most;
     List<JobEntry> batch = new ArrayList<>();
     for (EndedJobs.Ended ended : jobs.ended().oldestFirst()) {
       boolean isDue = excess-- > 0 || context.nowMs - ended.sinceMs() >= stayMs;
--- /dev/null
+++ b/src/main/java/eiderfork/core/JobPages.java
@@ -0,0 +1,84 @@
+package eiderfork.core;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.core.message.Keys;
+import eiderfork.core.message.Reply;
+
+/**
+ * Reads stored jobs a page at a time, each page with the alloc records of its jobs, so that a
+ * reader can let go of what it has no use for before it reads on.
+ */
+final class JobPages {
+  /**
+   * A page of submissions, and the alloc records between the page before and this one's end.
+   *
+   * @param next the id of the job after which the next page begins; null where this is the last
+   */
+  record JobPage(ImmutableList<Reply.Item> jobs, ImmutableList<Reply.Item> allocs, String next) {}
+
+  /** Takes a page. */
+  interface Taker {
+    void take(JobPage page);
+  }
+
+  private final StateReader reader;
+
+  JobPages(StateReader reader) {
+    this.reader = reader;
+  }
+
+  /**
+   * Reads a page.
+   *
+   * @param after the id of the job after which the page begins; empty for the first page
+   * @param number the term in which this node leads
+   */
+  void read(String after, long number, Urgency urgency, Taker taker) {
+    reader.page(
+        Keys.JOB,
+        keyAfter(Keys.JOB, after),
+        number,
+        urgency,
+        page -> {
+          String last = null;
+          if (page.more()) {
+            last = Keys.tail(page.items().get(page.items().size() - 1).key());
+          }
+          readAllocs(page.items(), after, last, ImmutableList.builder(), number, urgency, taker);
+        });
+  }
+
+  private static String keyAfter(String prefix, String after) {
+    return after.isEmpty() ? "" : prefix + after;
+  }
+
+  private void readAllocs(
+      ImmutableList<Reply.Item> jobs,
+      String after,
+      String last,
+      ImmutableList.Builder<Reply.Item> allocs,
+      long number,
+      Urgency urgency,
+      Taker taker) {
+    reader.page(
+        Keys.ALLOC,
+        keyAfter(Keys.ALLOC, after),
+        number,
+        urgency,
+        page -> {
+          String uid = after;
+          for (Reply.Item item : page.items()) {
+            uid = Keys.tail(item.key());
+            if (last == null || uid.compareTo(last) <= 0) {
+              allocs.add(item);
+            }
+          }
+          boolean more = page.more() && (last == null || uid.compareTo(last) < 0);
+          if (more) {
+            readAllocs(jobs, uid, last, allocs, number, urgency, taker);
+          } else {
+            taker.take(new JobPage(jobs, allocs.build(), last));
+          }
+        });
+  }
+}
--- a/src/main/java/eiderfork/core/StateReader.java
+++ b/src/main/java/eiderfork/core/StateReader.java
@@ -48,30 +48,39 @@
    * Reads all keys under a prefix, page by page, as often as it takes while this node leads.
    *
    * @param taker takes each of them
-   * @param then takes the revision of the last page once all were read
+   * @param then takes the revision of the first page once all were read
    */
   void scan(
       String prefix, String after, long number, Consumer<Reply.Item> taker, LongConsumer then) {
+    page(
+        prefix,
+        after,
+        number,
+        Urgency.START,
+        page -> {
+          page.items().forEach(taker);
+          if (page.more()) {
+            String last = page.items().get(page.items().size() - 1).key();
+            scan(prefix, last, number, taker, revision -> then.accept(page.revision()));
+          } else {
+            then.accept(page.revision());
+          }
+        });
+  }
+
+  /** Reads one page of the keys under a prefix, as often as it takes while this node leads. */
+  void page(String prefix, String after, long number, Urgency urgency, Consumer<Reply.Page> taker) {
     gate.send(
         new StateOp.Scan(prefix, after),
-        Urgency.START,
+        urgency,
         reply -> {
           if (!leads(number)) {
             return;
           }
-          if (!(reply instanceof Reply.Page page)) {
-            later(() -> scan(prefix, after, number, taker, then));
-            return;
-          }
-          String last = after;
-          for (Reply.Item item : page.items()) {
-            taker.accept(item);
-            last = item.key();
-          }
-          if (page.more()) {
-            scan(prefix, last, number, taker, revision -> then.accept(page.revision()));
+          if (reply instanceof Reply.Page page) {
+            taker.accept(page);
           } else {
-            then.accept(page.revision());
+            later(() -> page(prefix, after, number, urgency, taker));
           }
         });
   }
--- a/src/test/java/eiderfork/core/JobArchiveMoveTest.java
+++ b/src/test/java/eiderfork/core/JobArchiveMoveTest.java
@@ -29,8 +29,10 @@
   private final ClusterVersion version = new ClusterVersion(context, gate, term);
   private final JobTable jobs = new JobTable(context, gate, term, version);
   private final Cancellations cancellations = new Cancellations(context, jobs::markAborted);
+  private final EndedJobSweep sweep =
+      new EndedJobSweep(context, term, jobs, null, cancellations, null);
   private final JobArchive archive =
-      new JobArchive(context, gate, term, version, jobs, cancellations);
+      new JobArchive(context, gate, term, version, jobs, cancellations, sweep);
   private final JobEntry done = jobs.add(DONE, 3);
   private final JobEntry cancelled = jobs.add(CANCELLED, 4);
 
@@ -162,6 +164,8 @@
             gate,
             term,
             null,
+            null,
+            null,
             jobs,
             null,
             null,
@@ -180,26 +184,13 @@
   /** Past the operators' number the oldest go, however short their stay. */
   @Test
   void memoryHoldsNoMoreEndedJobsThanTheOperatorsSay() {
-    Context few =
-        new Context(Samples.withOperator(Samples.archivingAfter(3600), most(1)), new Random(1), 0);
+    Context few = new Context(Samples.archiving(3600, 1), new Random(1), 0);
     assertEquals(1, few.settings.operator().mostEndedJobs());
     context.nowMs += 2000;
-    JobArchive limited = new JobArchive(few, gate, term, version, jobs, cancellations);
+    JobArchive limited = new JobArchive(few, gate, term, version, jobs, cancellations, sweep);
     limited.tick();
     StateOp.Transact write =
         write(context.takeEffects().stream().map(Effect.AskState.class::cast).toList());
     assertEquals(1, write.changes().stream().filter(it -> it.record() != null).count());
   }
-
-  private static eiderfork.config.OperatorSettings most(int endedJobs) {
-    var d = eiderfork.config.OperatorSettings.DEFAULTS;
-    return new eiderfork.config.OperatorSettings(
-        d.roundShare(),
-        d.stateLeaseShare(),
-        d.headroom(),
-        d.idleShare(),
-        d.spot(),
-        3600,
-        endedJobs);
-  }
 }
--- a/src/test/java/eiderfork/core/JobArchiveTest.java
+++ b/src/test/java/eiderfork/core/JobArchiveTest.java
@@ -302,6 +302,55 @@
     rulesHold(world);
   }
 
+  /**
+   * A cluster that has run without an archive for long: its first new leader has no room for all
+   * ended jobs. Memory once held every one of them, and no leader got through its rebuilding.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void aLeaderWithoutRoomForAllEndedJobsArchivesThemBitByBit(long seed) {
+    int most = 4;
+    World world = new World(seed, Samples.archiving(3600, most));
+    for (String node : world.all()) {
+      world.older.add(node);
+      world.boot(node);
+    }
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 1; i <= 30; i++) {
+      JobKind kind = i % 5 == 0 ? JobKind.SERVICE : JobKind.ARRAY;
+      Job job = Samples.job(i, kind, 1, 1);
+      jobs.add(job);
+      world.at(1000 + 200L * i, () -> world.submit(job));
+      // Some before they have started.
+      world.at(1300 + 200L * i + (i % 2) * 20_000, () -> world.abort(job.uid()));
+    }
+    Job alive = Samples.job(40, JobKind.SERVICE, 2, 1);
+    world.submit(alive);
+    world.run(60);
+    world.older.clear();
+    world.all().forEach(node -> world.crash(node, 500));
+    world.run(4);
+    while (world.leader() == null || world.state.get(Keys.VERSION) == null) {
+      world.run(0.1);
+    }
+    // Besides those: a page of the sweep, services whose tasks are not settled yet, and one alive.
+    int inMemory = world.nodes.get(world.leader()).jobsInMemory();
+    assertTrue(inMemory <= most + 7 + 6 + 1, inMemory + " jobs are in memory");
+    jobs.forEach(job -> world.lookClosely(job.uid()));
+    world.run(1);
+    if (seed % 2 == 0) {
+      world.crash(world.leader(), 1000);
+    }
+    world.run(60);
+    rulesHold(world);
+    jobs.forEach(job -> world.lookClosely(job.uid()));
+    world.run(5);
+    rulesHold(world);
+    long left = jobs.stream().filter(job -> !isArchived(world, job)).count();
+    assertTrue(left <= most, left + " are not archived");
+    assertEquals(2, world.checker.running(alive.uid()));
+  }
+
   /** What a spoilt record says is not known, so nothing is concluded from the others. */
   @Test
   void aFrozenJobStaysWhereItIs() {
--- a/src/test/java/eiderfork/core/Samples.java
+++ b/src/test/java/eiderfork/core/Samples.java
@@ -82,6 +82,11 @@
 
   /** Settings by which jobs are archived that long after their end. */
   static Settings archivingAfter(double seconds) {
+    return archiving(seconds, OperatorSettings.DEFAULTS.mostEndedJobs());
+  }
+
+  /** Settings by which jobs are archived that long after their end, or past so many of them. */
+  static Settings archiving(double seconds, int mostEndedJobs) {
     OperatorSettings d = OperatorSettings.DEFAULTS;
     return withOperator(
         settings("roost-0"),
@@ -92,7 +97,7 @@
             d.idleShare(),
             d.spot(),
             seconds,
-            d.mostEndedJobs()));
+            mostEndedJobs));
   }
 
   /** The same settings, with other aims of the users. */
