Scale run: an interrupted run leaves no controller behind

Cause: while an interrupted run's processes were being ended, the run took them for ended by themselves and started them again; two stayed. Change: nothing is started once the run is over.

--- a/src/main/java/eiderfork/scale/ControllerProcess.java
+++ b/src/main/java/eiderfork/scale/ControllerProcess.java
@@ -23,6 +23,10 @@
   private final Path log;
   private final List<String> command;
   private Process process;
+
+  /** The run is being ended; nothing is started any more. */
+  private boolean over;
+
   private double pastCpuS;
   private double lastCpuS;
 
@@ -57,7 +61,7 @@
   }
 
   synchronized void start() throws IOException {
-    if (process != null && process.isAlive()) {
+    if (over || process != null && process.isAlive()) {
       return;
     }
     pastCpuS += lastCpuS;
@@ -69,6 +73,17 @@
             .start();
   }
 
+  /**
+   * Ends the process for good. While an interrupted run's processes were ended, the run itself took
+   * them for ended by themselves and started them again.
+   */
+  void end() throws InterruptedException {
+    synchronized (this) {
+      over = true;
+    }
+    killAndWait();
+  }
+
   /** Ends the process without notice. */
   synchronized void kill() {
     if (process != null) {
@@ -78,7 +93,7 @@
   }
 
   /** Ends the process and waits until it is gone. */
-  void killAndWait() throws InterruptedException {
+  private void killAndWait() throws InterruptedException {
     kill();
     Process ended;
     synchronized (this) {
--- a/src/main/java/eiderfork/scale/ScaleRun.java
+++ b/src/main/java/eiderfork/scale/ScaleRun.java
@@ -118,7 +118,7 @@
     for (Cell cell : cells) {
       for (ControllerProcess controller : cell.controllers()) {
         try {
-          controller.killAndWait();
+          controller.end();
         } catch (InterruptedException e) {
           controller.kill();
         }
--- /dev/null
+++ b/src/test/java/eiderfork/scale/ControllerProcessTest.java
@@ -0,0 +1,37 @@
+package eiderfork.scale;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderfork.config.Settings.Endpoint;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The life of a controller's process in a scale run. */
+class ControllerProcessTest {
+  @TempDir Path directory;
+
+  /** An interrupted run left two processes behind: it started again what its own end had killed. */
+  @Test
+  void nothingIsStartedOnceTheRunIsOver() throws IOException, InterruptedException {
+    ControllerProcess controller =
+        new ControllerProcess(
+            "controller",
+            "zone",
+            new Endpoint("127.0.0.1", 1),
+            directory,
+            List.of("sh", "-c", "exec sleep 600"),
+            "");
+    controller.start();
+    assertTrue(controller.isAlive());
+    controller.kill();
+    controller.start();
+    controller.end();
+    assertFalse(controller.isAlive());
+    controller.start();
+    assertFalse(controller.isAlive());
+  }
+}
