--- a/src/main/java/eiderfork/scale/ScaleRun.java
+++ b/src/main/java/eiderfork/scale/ScaleRun.java
@@ -78,18 +78,15 @@
     Path directory = logs == null ? Files.createTempDirectory("eiderfork-scale") : logs;
     Files.createDirectories(directory);
     ScaleRun run = new ScaleRun(path.toString(), settings, runCommand(deploy), directory, progress);
-    Thread cleanUp = new Thread(run::killAll);
+    Thread cleanUp = new Thread(() -> run.cleanUp(logs == null));
     Runtime.getRuntime().addShutdownHook(cleanUp);
     try {
       ScaleReport report = run.play();
       return new Outcome(report.toText(), report.toJson(), report.isGood());
     } finally {
-      run.killAll();
+      run.cleanUp(logs == null);
       Runtime.getRuntime().removeShutdownHook(cleanUp);
       run.cells.forEach(Cell::close);
-      if (logs == null) {
-        remove(directory);
-      }
     }
   }
 
@@ -104,16 +101,22 @@
     return List.of(run.textValue().trim().split(" +"));
   }
 
-  private static void remove(Path directory) throws IOException {
+  /** Ends every controller, also while the run is being interrupted. */
+  private void cleanUp(boolean removesDirectory) {
+    killAll();
+    if (!removesDirectory) {
+      return;
+    }
     try (var files = Files.list(directory)) {
       for (Path each : files.toList()) {
         Files.delete(each);
       }
+      Files.delete(directory);
+    } catch (IOException e) {
+      System.err.println("eiderfork: " + directory + " can't be removed: " + e.getMessage());
     }
-    Files.delete(directory);
   }
 
-  /** Ends every controller, also while the run is being interrupted. */
   private void killAll() {
     for (Cell cell : cells) {
       for (ControllerProcess controller : cell.controllers()) {
