--- /dev/null
+++ b/src/test/java/eiderfork/core/FakeStateAccess.java
@@ -0,0 +1,72 @@
+package eiderfork.core;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
+import eiderfork.model.Record;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** How the nodes of a {@link World} reach its state service, and what each makes of its records. */
+final class FakeStateAccess {
+  private final World world;
+
+  /** Nodes that the state service refuses, while it serves the others. */
+  final Set<String> refused = new HashSet<>();
+
+  FakeStateAccess(World world) {
+    this.world = world;
+  }
+
+  /** Carries out a node's request. */
+  void serve(String node, StateOp op, Consumer<Reply> then) {
+    if (world.stateDelayMs > 0) {
+      world.at(world.stateDelayMs, () -> served(node, op, then));
+    } else {
+      served(node, op, then);
+    }
+  }
+
+  private void served(String node, StateOp op, Consumer<Reply> then) {
+    if (!refused.contains(node)) {
+      world.state.execute(
+          op, world.nowMs, reply -> whenServed(node, () -> then.accept(asRead(node, reply))));
+    } else if (!(op instanceof StateOp.Watch)) {
+      then.accept(new Reply.Refused(503));
+    }
+  }
+
+  /** What a node makes of the bytes that the state service holds, by its version. */
+  private Reply asRead(String node, Reply reply) {
+    if (reply instanceof Reply.Value it) {
+      return new Reply.Value(asRead(node, it.record()), it.version());
+    } else if (reply instanceof Reply.Page it) {
+      return new Reply.Page(asRead(node, it.items()), it.more(), it.revision());
+    } else if (reply instanceof Reply.Changes it) {
+      return new Reply.Changes(asRead(node, it.items()), it.revision());
+    }
+    return reply;
+  }
+
+  private ImmutableList<Reply.Item> asRead(String node, ImmutableList<Reply.Item> items) {
+    return items.stream()
+        .map(item -> new Reply.Item(item.key(), asRead(node, item.record()), item.version()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private Record asRead(String node, Record record) {
+    if (!(record instanceof Record.PackedAlloc packed)) {
+      return record;
+    }
+    return world.older.contains(node) ? new Record.Unreadable("a newer form") : packed.alloc();
+  }
+
+  private void whenServed(String node, Runnable what) {
+    if (refused.contains(node)) {
+      world.at(World.TICK_MS, () -> whenServed(node, what));
+    } else {
+      what.run();
+    }
+  }
+}
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -1,6 +1,5 @@
 package eiderfork.core;
 
-import com.google.common.collect.ImmutableList;
 import eiderfork.config.Settings;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Input;
@@ -12,7 +11,6 @@
 import eiderfork.model.Machine;
 import eiderfork.model.Record;
 import eiderfork.model.TaskId;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -41,7 +39,7 @@
   final Random random;
 
   final Settings settings;
-  private final int count;
+  final int count;
   final FakeState state = new FakeState();
   final FakeCloud cloud;
   final Checker checker;
@@ -75,11 +73,9 @@
   /** The chance that a copy of a report is kept until a new leader begins, for every node. */
   double reportsForNext;
 
-  private final List<eiderfork.model.Report> kept = new ArrayList<>();
-  private Record leadership;
+  private final FakeReports reports = new FakeReports(this);
 
-  /** Nodes that the state service refuses, while it serves the others. */
-  private final Set<String> refused = new HashSet<>();
+  private final FakeStateAccess stateAccess = new FakeStateAccess(this);
 
   /** How much longer the state service takes over each request. */
   long stateDelayMs;
@@ -87,9 +83,6 @@
   /** How much longer direct commands are under way. */
   long commandsLateMs;
 
-  private long holdReportsUntilMs;
-  private long reportsHeldMs;
-
   /** Machines on which, and jobs of which, every task fails. */
   final Set<String> badMachines = new HashSet<>();
 
@@ -180,15 +173,7 @@
 
   private void tickWorld() {
     state.tick(nowMs);
-    if (!kept.isEmpty() && state.get(Keys.LEADER) != null) {
-      if (leadership != null && !leadership.equals(state.get(Keys.LEADER))) {
-        for (eiderfork.model.Report report : kept) {
-          nodes.keySet().forEach(node -> arrivesAgain(node, report));
-        }
-        kept.clear();
-      }
-      leadership = state.get(Keys.LEADER);
-    }
+    reports.tick();
     for (String node : List.copyOf(nodes.keySet())) {
       input(node, new Input.Tick());
     }
@@ -199,7 +184,7 @@
       }
       if (host.worker != null) {
         host.worker.tick();
-        reportIfDue(host.worker);
+        reports.sendIfDue(host.worker);
       }
     }
     checker.look(nowMs);
@@ -235,7 +220,7 @@
     at(forMs, () -> cuts.remove(link));
   }
 
-  private boolean isCut(String from, String to) {
+  boolean isCut(String from, String to) {
     return cuts.contains(from + ">" + to);
   }
 
@@ -263,7 +248,7 @@
   }
 
   /** How long a message takes; -1 where it is lost. */
-  private long delay(String from, String to) {
+  long delay(String from, String to) {
     if (isCut(from, to) || random.nextDouble() < loss) {
       return -1;
     }
@@ -310,9 +295,9 @@
         at(2000 + random.nextLong(10_000), () -> state.execute(it.op(), nowMs, reply -> {}));
         call(node, it, "nowhere", then -> {});
       } else if (it.op() instanceof StateOp.Transact && random.nextDouble() < lostAnswers) {
-        call(node, it, "state", then -> serve(node, it.op(), reply -> {}));
+        call(node, it, "state", then -> stateAccess.serve(node, it.op(), reply -> {}));
       } else {
-        call(node, it, "state", then -> serve(node, it.op(), then));
+        call(node, it, "state", then -> stateAccess.serve(node, it.op(), then));
       }
     } else if (effect instanceof Effect.AskTypes it) {
       askCloud(node, it, () -> new Reply.Types(cloud.types));
@@ -388,57 +373,8 @@
 
   /** The state service refuses this node alone; its open watches wait. */
   void refuse(String node, long forMs) {
-    refused.add(node);
-    at(forMs, () -> refused.remove(node));
-  }
-
-  private void serve(String node, StateOp op, Consumer<Reply> then) {
-    if (stateDelayMs > 0) {
-      at(stateDelayMs, () -> served(node, op, then));
-    } else {
-      served(node, op, then);
-    }
-  }
-
-  private void served(String node, StateOp op, Consumer<Reply> then) {
-    if (!refused.contains(node)) {
-      state.execute(op, nowMs, reply -> whenServed(node, () -> then.accept(asRead(node, reply))));
-    } else if (!(op instanceof StateOp.Watch)) {
-      then.accept(new Reply.Refused(503));
-    }
-  }
-
-  /** What a node makes of the bytes that the state service holds, by its version. */
-  private Reply asRead(String node, Reply reply) {
-    if (reply instanceof Reply.Value it) {
-      return new Reply.Value(asRead(node, it.record()), it.version());
-    } else if (reply instanceof Reply.Page it) {
-      return new Reply.Page(asRead(node, it.items()), it.more(), it.revision());
-    } else if (reply instanceof Reply.Changes it) {
-      return new Reply.Changes(asRead(node, it.items()), it.revision());
-    }
-    return reply;
-  }
-
-  private ImmutableList<Reply.Item> asRead(String node, ImmutableList<Reply.Item> items) {
-    return items.stream()
-        .map(item -> new Reply.Item(item.key(), asRead(node, item.record()), item.version()))
-        .collect(ImmutableList.toImmutableList());
-  }
-
-  private Record asRead(String node, Record record) {
-    if (!(record instanceof Record.PackedAlloc packed)) {
-      return record;
-    }
-    return older.contains(node) ? new Record.Unreadable("a newer form") : packed.alloc();
-  }
-
-  private void whenServed(String node, Runnable what) {
-    if (refused.contains(node)) {
-      at(TICK_MS, () -> whenServed(node, what));
-    } else {
-      what.run();
-    }
+    stateAccess.refused.add(node);
+    at(forMs, () -> stateAccess.refused.remove(node));
   }
 
   /** A controller loses the state service and its peers, not its workers or users. */
@@ -489,8 +425,7 @@
 
   /** Reports of the next second are held up for this long. */
   void holdNextReports(long forMs) {
-    holdReportsUntilMs = nowMs + 1000;
-    reportsHeldMs = forMs;
+    reports.holdNext(forMs);
   }
 
   /** All troubles are over. */
@@ -505,7 +440,7 @@
     commandsLateMs = 0;
     stateDelayMs = 0;
     cuts.clear();
-    refused.clear();
+    stateAccess.refused.clear();
     stillUntilMs.clear();
     workers().forEach(worker -> worker.hanging = false);
     if (state.out()) {
@@ -527,8 +462,7 @@
     }
   }
 
-  private void ask(
-      String node, java.util.function.LongFunction<Input> request, Consumer<Effect> then) {
+  void ask(String node, java.util.function.LongFunction<Input> request, Consumer<Effect> then) {
     if (nodes.containsKey(node)) {
       long ticket = ++tickets;
       answers.put(ticket, then);
@@ -582,89 +516,6 @@
     }
   }
 
-  private void reportIfDue(FakeWorker w) {
-    if (w.dead || w.hanging || w.waiting) {
-      return;
-    }
-    boolean early = w.changed && nowMs >= Math.min(w.nextReportMs - 500, w.reportedMs + 1000);
-    if (nowMs < w.nextReportMs && !early) {
-      return;
-    }
-    w.changed = false;
-    w.waiting = true;
-    w.reportedMs = nowMs;
-    long reportMs = (long) (settings.workers().reportS() * 1000);
-    w.nextReportMs = nowMs + reportMs * 3 / 4 + random.nextLong(reportMs / 2);
-    long sentMs = nowMs;
-    long session = w.session();
-    var report = w.report();
-    String node = "roost-" + w.node;
-    boolean[] over = {false};
-    at(
-        4000,
-        () -> {
-          if (!over[0]) {
-            over[0] = true;
-            w.waiting = false;
-            w.node = (w.node + 1) % count;
-            w.nextReportMs = nowMs + 1000;
-          }
-        });
-    String name = w.machine.name();
-    boolean cutOff = isCut("*", node) || isCut(name, node);
-    if (random.nextDouble() < lateReports) {
-      long leaseMs = (long) (settings.workers().leaseS() * 1000);
-      at(2000 + random.nextLong(leaseMs * 3 / 2), () -> arrivesAgain(node, report));
-    }
-    if (random.nextDouble() < reportsForNext) {
-      kept.add(report);
-    }
-    int copies = random.nextDouble() < doubled ? 2 : 1;
-    for (int i = 0; i < copies; i++) {
-      long heldMs = nowMs < holdReportsUntilMs ? reportsHeldMs : 0;
-      long delay = cutOff ? -1 : delay(name, node);
-      if (delay < 0) {
-        continue;
-      }
-      at(
-          heldMs + delay,
-          () ->
-              ask(
-                  node,
-                  ticket -> new Input.WorkerReport(ticket, report),
-                  effect -> {
-                    long back = isCut(node, "*") ? -1 : delay(node, name);
-                    if (back >= 0) {
-                      at(back, () -> reported(w, over, sentMs, session, effect));
-                    }
-                  }));
-    }
-  }
-
-  /** An old copy; whatever it is answered reaches nobody. */
-  private void arrivesAgain(String node, eiderfork.model.Report report) {
-    ask(node, ticket -> new Input.WorkerReport(ticket, report), effect -> {});
-  }
-
-  private void reported(FakeWorker w, boolean[] over, long sentMs, long session, Effect effect) {
-    if (over[0] || w.dead || w.hanging) {
-      return;
-    }
-    over[0] = true;
-    w.waiting = false;
-    if (effect instanceof Effect.AnswerWorker it) {
-      w.answered(sentMs, session, it.token(), it.commands());
-    } else if (effect instanceof Effect.RedirectWorker it) {
-      if (it.leader() != null && !it.leader().equals("roost-" + w.node)) {
-        w.node = it.leader().charAt(it.leader().length() - 1) - '0';
-        w.nextReportMs = nowMs + random.nextLong(500);
-      } else {
-        w.node = (w.node + 1) % count;
-        w.nextReportMs = nowMs + 1000;
-      }
-    }
-  }
-
   // Users.
 
   /** A user submits until the job is accepted or refused for good. */
