Scale run: the load begins with the first tick

Cause: in a full run each cell submitted some 65 jobs at once at its first tick, those that would have been due while the controllers started (1,145 accepted of 1,080 in the file).

--- a/src/main/java/eiderfork/scale/Cell.java
+++ b/src/main/java/eiderfork/scale/Cell.java
@@ -173,7 +173,11 @@
 
   /** Begins to offer load. */
   void begin() {
-    loop.execute(() -> loadBeganMs = Clock.nowMs());
+    loop.execute(
+        () -> {
+          loadBeganMs = Clock.nowMs();
+          users.begin();
+        });
     loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(this::second, SECOND_MS, SECOND_MS, TimeUnit.MILLISECONDS);
   }
--- a/src/main/java/eiderfork/scale/EmulatedUsers.java
+++ b/src/main/java/eiderfork/scale/EmulatedUsers.java
@@ -39,7 +39,7 @@
 
   private final List<String> over = new ArrayList<>();
   private double lateDue;
-  private long lastTickMs = Clock.nowMs();
+  private long lastTickMs;
 
   EmulatedUsers(Cell cell, ScaleSettings settings) {
     this.cell = cell;
@@ -84,6 +84,14 @@
 
   // The load.
 
+  /**
+   * The load begins now. Counted from when the cell was made, the first tick once submitted what
+   * would have been due while the controllers started.
+   */
+  void begin() {
+    lastTickMs = Clock.nowMs();
+  }
+
   /** Submits what is due, {@code elapsedS} after the beginning of the load. */
   void tick(double elapsedS) {
     long nowMs = Clock.nowMs();
