--- a/src/main/java/eiderfork/scale/EmulatedUsers.java
+++ b/src/main/java/eiderfork/scale/EmulatedUsers.java
@@ -10,12 +10,14 @@
 import eiderfork.wire.BadMessage;
 import eiderfork.wire.UserClientWire;
 import eiderfork.wire.UserWire;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** A cell's users and the load balancer before its controllers. */
 final class EmulatedUsers {
@@ -211,7 +213,7 @@
     ask(uid, status -> {});
   }
 
-  private void ask(String uid, java.util.function.Consumer<JobStatus> then) {
+  private void ask(String uid, Consumer<JobStatus> then) {
     long askedMs = Clock.nowMs();
     boolean acceptedBefore = cell.checker.isAccepted(uid);
     cell.counters.polls++;
@@ -246,7 +248,7 @@
     send(
         "POST",
         UserWire.RUNS + "/" + uid + UserWire.ABORT,
-        "{}".getBytes(java.nio.charset.StandardCharsets.UTF_8),
+        "{}".getBytes(StandardCharsets.UTF_8),
         SUBMIT_MS,
         (status, body) -> {
           if (status == 200) {
