--- a/src/main/java/eiderfork/scale/Cell.java
+++ b/src/main/java/eiderfork/scale/Cell.java
@@ -28,6 +28,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.HdrHistogram.Histogram;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -270,14 +271,24 @@
     return newestToken >> SEQUENCE_BITS;
   }
 
-  void cutRack(boolean cut) {
+  /** Cuts workers off from everything, or ends that. */
+  void cutOff(Predicate<HollowWorker> which, boolean cut) {
     for (HollowWorker worker : workers.values()) {
-      if (worker.rack == 0) {
+      if (which.test(worker)) {
         worker.cutOff(cut);
       }
     }
   }
 
+  static boolean isInFirstRack(HollowWorker worker) {
+    return worker.rack == 0;
+  }
+
+  /** Whether a worker is in one of every three racks. */
+  static boolean isInFirstThird(HollowWorker worker) {
+    return worker.rack % 3 == 0;
+  }
+
   /** The first zone's machines are gone. */
   void closeZone() {
     cloud.closeZone(plan.zone(0));
--- a/src/main/java/eiderfork/scale/ScaleFile.java
+++ b/src/main/java/eiderfork/scale/ScaleFile.java
@@ -18,7 +18,8 @@
 public final class ScaleFile {
   private static final Set<String> JOB_KINDS = Set.of("service", "array");
   private static final Set<String> PRIORITIES = Set.of("production", "high", "standard", "low");
-  private static final Set<String> TROUBLES = Set.of("leader", "rack", "zone", "controllers");
+  private static final Set<String> TROUBLES =
+      Set.of("leader", "rack", "third", "workers", "zone", "controllers");
 
   private final String file;
 
--- a/src/main/java/eiderfork/scale/ScaleSettings.java
+++ b/src/main/java/eiderfork/scale/ScaleSettings.java
@@ -102,11 +102,12 @@
   /**
    * A failure.
    *
-   * @param kind {@code leader}: the leader's process is killed; {@code rack}: the workers of a rack
-   *     hear and say nothing; {@code zone}: a zone's machines are gone and its controllers down;
-   *     {@code controllers}: all controllers of the cell are killed
+   * @param kind {@code leader}: the leader's process is killed; {@code rack}, {@code third}, {@code
+   *     workers}: the workers of a rack, of every third rack, or all of them hear and say nothing;
+   *     {@code zone}: a zone's machines are gone and its controllers down; {@code controllers}: all
+   *     controllers of the cell are killed
    * @param cell the cell's number from 0
-   * @param forS how long a rack is cut off, or a zone down; killed controllers come back after it
+   * @param forS how long workers are cut off, or a zone down; killed controllers come back after it
    */
   public record Trouble(String kind, double atS, int cell, double forS) {}
 
--- a/src/main/java/eiderfork/scale/TroubleMaker.java
+++ b/src/main/java/eiderfork/scale/TroubleMaker.java
@@ -4,19 +4,21 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Predicate;
 
 /** Makes a run's failures at their times, and mends them. */
 final class TroubleMaker {
   private record Restart(ControllerProcess controller, long atMs) {}
 
-  private record Reopening(Cell cell, String kind, long atMs) {}
+  /** What mends a trouble, carried out on its cell's thread. */
+  private record Mending(Cell cell, Runnable what, long atMs) {}
 
   /** Those that are still to come, the next one first. */
   private final List<ScaleSettings.Trouble> troubles;
 
   private final List<Cell> cells;
   private final List<Restart> restarts = new ArrayList<>();
-  private final List<Reopening> reopenings = new ArrayList<>();
+  private final List<Mending> mendings = new ArrayList<>();
 
   TroubleMaker(List<ScaleSettings.Trouble> troubles, List<Cell> cells) {
     this.troubles = new ArrayList<>(troubles);
@@ -53,18 +55,26 @@
     switch (trouble.kind()) {
       case "leader" -> kill(cell.controllers().get(ScaleRun.on(cell, cell::leader)), trouble);
       case "controllers" -> cell.controllers().forEach(each -> kill(each, trouble));
-      case "rack" -> cell.loop.execute(() -> cell.cutRack(true));
+      case "rack" -> cutOff(trouble, cell, Cell::isInFirstRack);
+      case "third" -> cutOff(trouble, cell, Cell::isInFirstThird);
+      case "workers" -> cutOff(trouble, cell, worker -> true);
       case "zone" -> {
-        cell.loop.execute(cell::closeZone);
+        makeAndMend(trouble, cell, cell::closeZone, cell::openZone);
         cell.controllers().stream()
             .filter(cell::isInClosedZone)
             .forEach(each -> kill(each, trouble));
       }
       default -> throw new IllegalStateException(trouble.kind());
     }
-    if (trouble.kind().equals("rack") || trouble.kind().equals("zone")) {
-      reopenings.add(new Reopening(cell, trouble.kind(), untilMs(trouble)));
-    }
+  }
+
+  private void cutOff(ScaleSettings.Trouble trouble, Cell cell, Predicate<HollowWorker> which) {
+    makeAndMend(trouble, cell, () -> cell.cutOff(which, true), () -> cell.cutOff(which, false));
+  }
+
+  private void makeAndMend(ScaleSettings.Trouble trouble, Cell cell, Runnable make, Runnable mend) {
+    cell.loop.execute(make);
+    mendings.add(new Mending(cell, mend, untilMs(trouble)));
   }
 
   private static long untilMs(ScaleSettings.Trouble trouble) {
@@ -83,17 +93,10 @@
         restarts.remove(it);
       }
     }
-    for (Reopening it : List.copyOf(reopenings)) {
+    for (Mending it : List.copyOf(mendings)) {
       if (Clock.nowMs() >= it.atMs) {
-        it.cell.loop.execute(
-            () -> {
-              if (it.kind.equals("rack")) {
-                it.cell.cutRack(false);
-              } else {
-                it.cell.openZone();
-              }
-            });
-        reopenings.remove(it);
+        it.cell.loop.execute(it.what);
+        mendings.remove(it);
       }
     }
   }
--- a/src/test/java/eiderfork/scale/ScaleFileTest.java
+++ b/src/test/java/eiderfork/scale/ScaleFileTest.java
@@ -44,7 +44,7 @@
     refused(
         "kind = \"leader\"",
         "kind = \"fire\"",
-        "file: troubles[0].kind: not one of [controllers, leader, rack, zone]");
+        "file: troubles[0].kind: not one of [controllers, leader, rack, third, workers, zone]");
     refused("at_s = 38.0", "at_s = 61.0", "file: troubles[0].at_s: not within run_s");
     refused("cell = 0", "cell = 2", "file: troubles[0].cell: there are fewer cells");
     refused("run_s = 8.0", "run_s = 0.0", "file: classes[2].run_s: not above 0");
