--- a/src/main/java/eiderfork/core/AllocWriter.java
+++ b/src/main/java/eiderfork/core/AllocWriter.java
@@ -152,10 +152,11 @@
     for (Reservation p : write.proposed) {
       p.committed = true;
       if (entry.placed.get(p.index) == p) {
-        p.machine.urgent = true;
+        p.machine.setUrgent();
       }
     }
-    entry.uncommitted.removeAll(write.settled);
+    write.settled.forEach(entry.uncommitted::remove);
+    jobs.changed(entry);
     if (write.record.done()) {
       LOG.debug("job {} is done", entry.job.uid());
     }
@@ -260,6 +261,7 @@
       jobs.dropUncommitted(entry);
     } else {
       entry.dirty = true;
+      jobs.changed(entry);
     }
     jobs.retireIfOver(entry);
   }
--- a/src/main/java/eiderfork/core/Bin.java
+++ b/src/main/java/eiderfork/core/Bin.java
@@ -10,6 +10,9 @@
   final Cloud.Kind kind;
   final Resources room;
 
+  /** The share of it that was left when the plan began. */
+  final double shareLeft;
+
   /** What nothing is reserved on nor packed on. */
   Resources left;
 
@@ -18,5 +21,6 @@
     this.kind = kind;
     this.room = room;
     this.left = left;
+    shareLeft = left.shareOf(room);
   }
 }
--- a/src/main/java/eiderfork/core/Cloud.java
+++ b/src/main/java/eiderfork/core/Cloud.java
@@ -174,6 +174,7 @@
           listBackoff.reset();
           listNextMs = context.nowMs + context.listLagMs() / 2;
           fleet.listing(entries, startedMs);
+          rents.forgetSettled();
           listed = true;
         });
   }
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -157,7 +157,9 @@
     } else if (input instanceof Input.HealthCheck it) {
       health(it.ticket());
     }
-    unpark();
+    if (mayEndParking(input)) {
+      unpark();
+    }
     gate.pump();
     round();
     return context.takeEffects();
@@ -340,6 +342,13 @@
         new Effect.RedirectWorker(ticket, context.settings.node().equals(leader) ? null : leader));
   }
 
+  /** Whether an input can change what becomes of parked reports; most inputs can't. */
+  private static boolean mayEndParking(Input input) {
+    return input instanceof Input.Tick
+        || input instanceof Input.Answered
+        || input instanceof Input.PeerPing;
+  }
+
   /** A report that can't be answered yet. */
   private record Parked(long ticket, Report report, long sinceMs) {}
 
@@ -402,6 +411,7 @@
     jobs.clear();
     fleet.clear();
     cloud.clear();
+    placer.clear();
     planner.clear();
   }
 
--- a/src/main/java/eiderfork/core/Drain.java
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -5,10 +5,10 @@
 import eiderfork.model.MachineType;
 import eiderfork.model.Resources;
 import eiderfork.model.TaskReport;
+import it.unimi.dsi.fastutil.objects.Reference2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -51,7 +51,7 @@
   }
 
   /** Looks at what a plan has left over; nothing is emptied while the fleet is {@code growing}. */
-  void plan(List<Bin> bins, boolean growing) {
+  void plan(Packing packing, boolean growing) {
     boolean busy = false;
     for (MachineEntry m : fleet.machines()) {
       if (m.draining && context.nowMs - m.drainingSinceMs > EMPTYING_STEPS * context.stepMs()) {
@@ -67,7 +67,7 @@
       return;
     }
     List<Bin> candidates = new ArrayList<>();
-    for (Bin bin : bins) {
+    for (Bin bin : packing.known()) {
       if (mayEmpty(bin)) {
         candidates.add(bin);
       }
@@ -75,7 +75,7 @@
     candidates.sort(Comparator.comparingDouble(bin -> -saving(bin)));
     Set<MachineEntry> spare = new HashSet<>();
     for (Bin bin : tries(candidates)) {
-      if (fitsElsewhere(bin, bins)) {
+      if (fitsElsewhere(bin, packing)) {
         spare.add(bin.machine);
       }
     }
@@ -151,35 +151,41 @@
    * GPUs as stand here are given back for it. Without that, replicas that must be spread held 46
    * machines of eight GPUs each, half of them free, for the processors of 30.
    */
-  private boolean fitsElsewhere(Bin from, List<Bin> bins) {
-    Map<Bin, Resources> left = new HashMap<>();
+  private boolean fitsElsewhere(Bin from, Packing packing) {
+    Map<Bin, Resources> left = new Reference2ObjectOpenHashMap<>();
     for (Reservation p : from.machine.placed) {
-      Job job = p.job.job;
-      Bin best = null;
-      double bestLeft = 0;
-      for (Bin bin : bins) {
-        // Most machines are full or elsewhere; what is quick to tell comes first.
-        Resources room = left.getOrDefault(bin, bin.left);
-        if (bin == from
-            || !job.need().fitsIn(room)
-            || !accepts(job, from, bin)
-            || from.room.gpus() <= 0 && placer.gpuBalance().strandedBy(job.need(), room) > 0) {
-          continue;
-        }
-        double share = room.minus(job.need()).shareOf(bin.room);
-        if (best == null || share < bestLeft) {
-          best = bin;
-          bestLeft = share;
-        }
-      }
+      Bin best = fullestTarget(p.job.job, from, packing, left);
       if (best == null) {
         return false;
       }
-      left.put(best, left.getOrDefault(best, best.left).minus(job.need()));
+      left.put(best, left.getOrDefault(best, best.left).minus(p.job.job.need()));
     }
     return true;
   }
 
+  /** The machine for a moved task that has the least left beside it, or null. */
+  private Bin fullestTarget(Job job, Bin from, Packing packing, Map<Bin, Resources> left) {
+    Bin[] best = new Bin[1];
+    double[] bestLeft = new double[1];
+    packing.forEachWithRoom(
+        job,
+        bin -> {
+          Resources room = left.getOrDefault(bin, bin.left);
+          if (bin == from
+              || !job.need().fitsIn(room)
+              || !accepts(job, from, bin)
+              || from.room.gpus() <= 0 && placer.gpuBalance().strandedBy(job.need(), room) > 0) {
+            return;
+          }
+          double share = room.minus(job.need()).shareOf(bin.room);
+          if (best[0] == null || share < bestLeft[0]) {
+            best[0] = bin;
+            bestLeft[0] = share;
+          }
+        });
+    return best[0];
+  }
+
   /** On a machine that is the fuller one, in a zone that the job's other tasks leave open. */
   private boolean accepts(Job job, Bin from, Bin to) {
     return to.machine != null
@@ -205,7 +211,7 @@
     LOG.info("emptying {}, its {} tasks fit elsewhere", m.name, m.placed.size());
     m.draining = true;
     m.drainingSinceMs = context.nowMs;
-    m.urgent = true;
+    m.setUrgent();
     m.placed.forEach(p -> p.stopping = true);
   }
 }
--- a/src/main/java/eiderfork/core/Fleet.java
+++ b/src/main/java/eiderfork/core/Fleet.java
@@ -6,7 +6,11 @@
 import eiderfork.model.Machine;
 import eiderfork.model.MachineType;
 import eiderfork.model.Record;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -22,6 +26,16 @@
   private final Context context;
   private final JobTable jobs;
   private final Map<String, MachineEntry> machines = new LinkedHashMap<>();
+  private final Int2ObjectOpenHashMap<MachineEntry> byNumber = new Int2ObjectOpenHashMap<>();
+  private final MachineSets sets = new MachineSets();
+  private int lastNumber;
+
+  /** Machines never answered in this term, and the others in the order of their last answers. */
+  private final ReferenceLinkedOpenHashSet<MachineEntry> unanswered =
+      new ReferenceLinkedOpenHashSet<>();
+
+  private final ReferenceLinkedOpenHashSet<MachineEntry> answered =
+      new ReferenceLinkedOpenHashSet<>();
 
   /** Machines that surely are gone; their late reports and list entries mean nothing. */
   private final Set<String> gone = new HashSet<>();
@@ -35,9 +49,43 @@
 
   void clear() {
     machines.clear();
+    byNumber.clear();
+    sets.clear();
+    unanswered.clear();
+    answered.clear();
     gone.clear();
   }
 
+  /** The machines by what has to be done about them. */
+  MachineSets sets() {
+    return sets;
+  }
+
+  /** The machine with this number. */
+  MachineEntry get(int number) {
+    return byNumber.get(number);
+  }
+
+  /** A report of the machine is answered now, which may renew its worker's lease. */
+  void answered(MachineEntry m) {
+    m.answeredMs = context.nowMs;
+    unanswered.remove(m);
+    answered.addAndMoveToLast(m);
+  }
+
+  /** The machines whose last answer is longer ago than that, or that had none in this term. */
+  List<MachineEntry> unansweredFor(long ms) {
+    List<MachineEntry> found = new ArrayList<>(unanswered);
+    for (MachineEntry m : answered) {
+      if (context.nowMs - m.answeredMs <= ms) {
+        break;
+      }
+      found.add(m);
+    }
+    found.sort(Comparator.comparingInt(m -> m.number));
+    return found;
+  }
+
   Collection<MachineEntry> machines() {
     return machines.values();
   }
@@ -72,7 +120,15 @@
 
   /** The entry of a machine, made where there is none. */
   MachineEntry known(String name) {
-    return machines.computeIfAbsent(name, n -> new MachineEntry(n, context.nowMs));
+    return machines.computeIfAbsent(name, this::add);
+  }
+
+  private MachineEntry add(String name) {
+    MachineEntry m = new MachineEntry(name, ++lastNumber, sets, context.nowMs);
+    byNumber.put(m.number, m);
+    sets.added(m);
+    unanswered.add(m);
+    return m;
   }
 
   MachineEntry known(Machine machine) {
@@ -87,7 +143,7 @@
   private void fillRoom(MachineEntry m) {
     MachineType type = type(m);
     if (type != null) {
-      m.room = type.room();
+      m.room(type.room());
     }
   }
 
@@ -96,6 +152,10 @@
     LOG.info("machine {} is gone: {}", m.name, why);
     settleAll(m);
     machines.remove(m.name);
+    byNumber.remove(m.number);
+    sets.removed(m);
+    unanswered.remove(m);
+    answered.remove(m);
     gone.add(m.name);
   }
 
--- a/src/main/java/eiderfork/core/Gang.java
+++ b/src/main/java/eiderfork/core/Gang.java
@@ -75,7 +75,7 @@
     stop = how;
     for (Reservation task : job.placed.values()) {
       task.stopping = true;
-      task.machine.urgent = true;
+      task.machine.setUrgent();
     }
   }
 
--- a/src/main/java/eiderfork/core/GangPlacer.java
+++ b/src/main/java/eiderfork/core/GangPlacer.java
@@ -71,10 +71,10 @@
   private boolean holdsAll(JobEntry entry, Map<String, Integer> perZone) {
     Job job = entry.job;
     Map<String, Integer> fitting = new HashMap<>();
-    for (MachineEntry machine : room.machines()) {
+    for (MachineEntry machine : room.candidates(job, room.openZones(entry, perZone))) {
       room.countExamined();
       int fits = room.of(machine).count(job.need());
-      if (fits > 0 && room.allowed(entry, machine, perZone)) {
+      if (fits > 0 && room.isUsable(machine) && room.allowed(entry, machine, perZone)) {
         fitting.merge(machine.zone(), Math.min(fits, job.tasks()), Integer::sum);
       }
     }
@@ -94,23 +94,15 @@
     for (int index = 0; index < entry.job.tasks(); index++) {
       MachineEntry machine = search.best();
       if (machine == null || !stored.fits(attempt, machine.name)) {
-        withdraw(proposed, entry);
+        proposed.forEach(jobs::withdraw);
         return false;
       }
       proposed.add(jobs.propose(entry, index, attempt, machine));
       stored.add(attempt, machine.name);
-      room.take(machine, entry.job.need());
       perZone.merge(machine.zone(), 1, Integer::sum);
       search.taken();
     }
     LOG.debug("gang {} of {}: attempt {}", entry.job.uid(), entry.job.jobClass(), attempt);
     return true;
   }
-
-  private void withdraw(List<Reservation> proposed, JobEntry entry) {
-    for (Reservation task : proposed) {
-      jobs.withdraw(task);
-      room.giveBack(task.machine, entry.job.need());
-    }
-  }
 }
--- a/src/main/java/eiderfork/core/GpuBalance.java
+++ b/src/main/java/eiderfork/core/GpuBalance.java
@@ -17,6 +17,11 @@
     return cpusPerGpu > 0 ? Math.max(0, free.gpus() - free.cpus() / cpusPerGpu) : 0;
   }
 
+  /** The processors that can be taken without leaving free GPUs fewer than they need. */
+  double spareCpus(Resources free) {
+    return free.cpus() - free.gpus() * cpusPerGpu;
+  }
+
   /** How many more GPUs would be stranded if {@code need} were taken out of {@code free}. */
   double strandedBy(Resources need, Resources free) {
     return stranded(free.minus(need)) - stranded(free);
--- a/src/main/java/eiderfork/core/JobEntry.java
+++ b/src/main/java/eiderfork/core/JobEntry.java
@@ -42,6 +42,14 @@
   /** What is in memory differs from what is committed. */
   boolean dirty;
 
+  /** The job still has something to do; changed by {@link JobTable} alone. */
+  boolean active;
+
+  /** What {@link UsageTally} has counted of it: its tasks, and itself. */
+  int tallied;
+
+  boolean talliedActive;
+
   /** A stored record of the job can't be read. */
   private boolean frozen;
 
@@ -108,6 +116,11 @@
     waiting.set(0, job.tasks());
   }
 
+  /** Whether something of the job is to be placed or written. */
+  boolean hasWork() {
+    return !waiting.isEmpty() || dirty;
+  }
+
   boolean over() {
     return aborted || committed.done();
   }
--- a/src/main/java/eiderfork/core/JobRanking.java
+++ b/src/main/java/eiderfork/core/JobRanking.java
@@ -4,13 +4,9 @@
 import eiderfork.model.JobKind;
 import eiderfork.model.Resources;
 import eiderfork.model.Team;
-import it.unimi.dsi.fastutil.objects.Object2LongMap;
-import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ReferenceOpenHashSet;
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,13 +16,21 @@
  * team's guarantee first, then by priority, then by {@link TurnOrder}.
  */
 final class JobRanking {
-  /**
-   * The jobs in their order, and what was counted on the way.
-   *
-   * @param usedByTeam what the tasks of each team's jobs use now
-   * @param balance what GPU work takes beside its GPUs
-   */
-  record Ranked(List<JobEntry> jobs, Map<String, Resources> usedByTeam, GpuBalance balance) {}
+  /** A job with what decides its place. */
+  private record Turn(JobEntry entry, boolean guaranteed, long turnMs) implements Comparable<Turn> {
+    @Override
+    public int compareTo(Turn other) {
+      if (guaranteed != other.guaranteed) {
+        return guaranteed ? -1 : 1;
+      }
+      int byPriority = entry.job.priority().compareTo(other.entry.job.priority());
+      if (byPriority != 0) {
+        return byPriority;
+      }
+      int byTurn = Long.compare(turnMs, other.turnMs);
+      return byTurn != 0 ? byTurn : Long.compare(entry.order, other.entry.order);
+    }
+  }
 
   private final Context context;
   private final TurnOrder turnOrder;
@@ -36,64 +40,59 @@
     turnOrder = new TurnOrder(context, deadlines);
   }
 
-  Ranked rank(Collection<JobEntry> active) {
-    Map<String, Resources> usedByTeam = new HashMap<>();
-    double cpusOnGpus = 0;
-    double gpus = 0;
-    List<JobEntry> jobs = new ArrayList<>();
-    for (JobEntry entry : active) {
-      Job job = entry.job;
-      usedByTeam.merge(job.team(), job.need().times(entry.counted()), Resources::plus);
-      if (job.need().gpus() > 0) {
-        cpusOnGpus += job.need().cpus() * job.tasks();
-        gpus += job.need().gpus() * job.tasks();
-      }
-      if (!entry.waiting.isEmpty() || entry.dirty) {
-        jobs.add(entry);
-      }
+  /** The jobs that have something to place or to write, the most urgent first. */
+  List<JobEntry> rank(JobTable jobs) {
+    List<JobEntry> work = jobs.withWork();
+    Set<JobEntry> guaranteed = guaranteed(work, jobs.tally());
+    int mostTasks = mostArrayTasks(work);
+    List<Turn> turns = new ArrayList<>(work.size());
+    for (JobEntry entry : work) {
+      long turnMs = turnOrder.turnMs(entry, mostTasks);
+      turns.add(new Turn(entry, guaranteed.contains(entry), turnMs));
     }
-    Set<JobEntry> guaranteed = guaranteed(jobs, usedByTeam);
-    Object2LongMap<JobEntry> turns = turns(jobs);
-    jobs.sort(
-        Comparator.comparing((JobEntry entry) -> !guaranteed.contains(entry))
-            .thenComparing(entry -> entry.job.priority())
-            .thenComparingLong(turns::getLong)
-            .thenComparingLong(entry -> entry.order));
-    return new Ranked(jobs, usedByTeam, new GpuBalance(gpus > 0 ? cpusOnGpus / gpus : 0));
+    turns.sort(null);
+    List<JobEntry> ranked = new ArrayList<>(turns.size());
+    turns.forEach(turn -> ranked.add(turn.entry));
+    return ranked;
   }
 
   /** The jobs that fit into their team's guarantee beside its more urgent and earlier ones. */
-  private Set<JobEntry> guaranteed(List<JobEntry> jobs, Map<String, Resources> usedByTeam) {
-    List<JobEntry> byUrgency = new ArrayList<>(jobs);
-    byUrgency.sort(
-        Comparator.comparing((JobEntry entry) -> entry.job.priority())
-            .thenComparingLong(entry -> entry.order));
-    Set<JobEntry> guaranteed = new HashSet<>();
+  private Set<JobEntry> guaranteed(List<JobEntry> work, UsageTally tally) {
+    List<JobEntry> byUrgency = new ArrayList<>();
+    for (JobEntry entry : work) {
+      Team team = context.settings.teams().get(entry.job.team());
+      if (team != null && team.hasGuarantee()) {
+        byUrgency.add(entry);
+      }
+    }
+    byUrgency.sort(JobRanking::byUrgency);
+    Set<JobEntry> guaranteed = new ReferenceOpenHashSet<>();
     Map<String, Resources> wantedByTeam = new HashMap<>();
     for (JobEntry entry : byUrgency) {
       Job job = entry.job;
       Resources waiting = job.need().times(entry.waiting.cardinality());
       Resources wanted = wantedByTeam.merge(job.team(), waiting, Resources::plus);
-      Resources all = usedByTeam.getOrDefault(job.team(), Resources.NONE).plus(wanted);
       Team team = context.settings.teams().get(job.team());
-      if (team != null && team.withinGuarantee(all)) {
+      if (team.withinGuarantee(tally.used(job.team()).plus(wanted))) {
         guaranteed.add(entry);
       }
     }
     return guaranteed;
   }
 
-  private Object2LongMap<JobEntry> turns(List<JobEntry> jobs) {
-    int mostTasks = 1;
-    for (JobEntry entry : jobs) {
+  private static int byUrgency(JobEntry a, JobEntry b) {
+    int byPriority = a.job.priority().compareTo(b.job.priority());
+    return byPriority != 0 ? byPriority : Long.compare(a.order, b.order);
+  }
+
+  /** The most tasks that any array has waiting. */
+  private static int mostArrayTasks(List<JobEntry> work) {
+    int most = 1;
+    for (JobEntry entry : work) {
       if (entry.job.kind() == JobKind.ARRAY) {
-        mostTasks = Math.max(mostTasks, entry.waiting.cardinality());
+        most = Math.max(most, entry.waiting.cardinality());
       }
     }
-    Object2LongMap<JobEntry> turns = new Object2LongOpenHashMap<>();
-    for (JobEntry entry : jobs) {
-      turns.put(entry, turnOrder.turnMs(entry, mostTasks));
-    }
-    return turns;
+    return most;
   }
 }
--- a/src/main/java/eiderfork/core/JobTable.java
+++ b/src/main/java/eiderfork/core/JobTable.java
@@ -6,6 +6,7 @@
 import eiderfork.model.Job;
 import eiderfork.model.MachineType;
 import eiderfork.model.Record;
+import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -24,6 +25,11 @@
   /** Jobs that still have something to do, so that rounds skip the long past. */
   private final Map<String, JobEntry> active = new LinkedHashMap<>();
 
+  /** Those of them that may have something to place or to write. */
+  private final ReferenceLinkedOpenHashSet<JobEntry> backlog = new ReferenceLinkedOpenHashSet<>();
+
+  private final UsageTally tally = new UsageTally();
+
   private final EndedJobs ended = new EndedJobs();
 
   /** Profiles in use; those of jobs that have left memory go with them. */
@@ -40,6 +46,8 @@
   void clear() {
     jobs.clear();
     active.clear();
+    backlog.clear();
+    tally.clear();
     ended.clear();
     frozen.clear();
   }
@@ -53,6 +61,7 @@
     JobEntry entry = jobs.get(uid);
     if (entry != null) {
       entry.freeze();
+      changed(entry);
     }
   }
 
@@ -70,6 +79,38 @@
     return active.values();
   }
 
+  /** The active jobs that have something to place or to write. */
+  List<JobEntry> withWork() {
+    backlog.removeIf(entry -> !entry.hasWork());
+    return new ArrayList<>(backlog);
+  }
+
+  /** What the tasks of active jobs take. */
+  UsageTally tally() {
+    return tally;
+  }
+
+  /** Takes up what has changed of a job's tasks, or of whether it has something to do. */
+  void changed(JobEntry entry) {
+    tally.update(entry);
+    if (entry.active && entry.hasWork()) {
+      backlog.add(entry);
+    }
+  }
+
+  private void activate(JobEntry entry) {
+    entry.active = true;
+    active.put(entry.job.uid(), entry);
+    changed(entry);
+  }
+
+  private void deactivate(JobEntry entry) {
+    entry.active = false;
+    active.remove(entry.job.uid(), entry);
+    backlog.remove(entry);
+    tally.update(entry);
+  }
+
   /** The jobs that are over and of which nothing is left. */
   EndedJobs ended() {
     return ended;
@@ -79,7 +120,7 @@
   void forget(JobEntry entry) {
     String uid = entry.job.uid();
     if (jobs.remove(uid, entry)) {
-      active.remove(uid);
+      deactivate(entry);
       ended.remove(uid);
       List.copyOf(entry.placed.values()).forEach(JobTable::drop);
     }
@@ -105,7 +146,7 @@
     TaskProfile profile = profiles.intern(TaskProfile.of(job));
     JobEntry entry = new JobEntry(job, profile, order, context.nowMs, writeBackoff, sizeBackoff);
     jobs.put(job.uid(), entry);
-    active.put(job.uid(), entry);
+    activate(entry);
     return entry;
   }
 
@@ -126,7 +167,9 @@
         entry.placed.put(index, p);
         entry.waiting.clear(index);
         machine.add(p);
-        machine.urgent |= entry.aborted;
+        if (entry.aborted) {
+          machine.setUrgent();
+        }
       }
     }
     restoreGang(entry);
@@ -135,7 +178,7 @@
     } else {
       // A cancellation taken while rebuilding may have retired the job before its reservations
       // were read; they count for the quota until they are settled.
-      active.put(entry.job.uid(), entry);
+      activate(entry);
       ended.remove(entry.job.uid());
       retireIfOver(entry);
     }
@@ -183,11 +226,12 @@
     entry.uncommitted.clear();
     for (Reservation p : List.copyOf(entry.placed.values())) {
       if (p.committed) {
-        p.machine.urgent = true;
+        p.machine.setUrgent();
       } else if (!entry.writing) {
         drop(p);
       }
     }
+    changed(entry);
     retireIfOver(entry);
   }
 
@@ -199,7 +243,7 @@
   }
 
   private void retire(JobEntry entry) {
-    active.remove(entry.job.uid());
+    deactivate(entry);
     ended.add(entry, context.nowMs);
   }
 
@@ -211,6 +255,7 @@
     }
     drop(p);
     if (entry.aborted) {
+      changed(entry);
       retireIfOver(entry);
       return;
     }
@@ -227,6 +272,7 @@
     } else if (entry.gang != null) {
       entry.gang.taskLost();
     }
+    changed(entry);
   }
 
   /** The tasks of a gang complete together: where one is done, all are. */
@@ -244,6 +290,7 @@
   void withdraw(Reservation p) {
     drop(p);
     p.job.waiting.set(p.index);
+    changed(p.job);
   }
 
   private static void drop(Reservation p) {
@@ -274,6 +321,7 @@
     entry.waiting.clear(index);
     machine.add(p);
     entry.dirty = true;
+    changed(entry);
     return p;
   }
 
@@ -293,5 +341,6 @@
         drop(p);
       }
     }
+    changed(entry);
   }
 }
--- a/src/main/java/eiderfork/core/LeaseLapses.java
+++ b/src/main/java/eiderfork/core/LeaseLapses.java
@@ -74,12 +74,13 @@
     }
     List<MachineEntry> over = new ArrayList<>();
     boolean silent = false;
-    for (MachineEntry m : fleet.machines()) {
+    long suspectMs = (long) (context.leaseMs() * SUSPECT_SHARE);
+    for (MachineEntry m : fleet.unansweredFor(suspectMs)) {
       if (!m.placed.isEmpty()) {
         if (lapsed(m)) {
           over.add(m);
         }
-        silent |= m.report != null && liveness.silentForMs(m) > context.leaseMs() * SUSPECT_SHARE;
+        silent |= m.report != null && liveness.silentForMs(m) > suspectMs;
       }
     }
     if (!mayBeProxied()) {
--- a/src/main/java/eiderfork/core/MachineEntry.java
+++ b/src/main/java/eiderfork/core/MachineEntry.java
@@ -15,10 +15,18 @@
 final class MachineEntry {
   final String name;
 
+  /** Ascends with the order in which the leader learned of its machines. */
+  final int number;
+
+  private final MachineSets sets;
+
+  /** Where the machine stands in the index of free room; null while it is not in it. */
+  RoomIndex.Place place;
+
   /** Null while only the name is known, from a rent or a reservation. */
   Machine machine;
 
-  /** What the type offers; null while the type is not known. */
+  /** What the type offers; null while the type is not known. Changed by {@link #room} alone. */
   Resources room;
 
   /** What is reserved here; changed by {@link #add} and {@link #remove} alone. */
@@ -27,7 +35,10 @@
   /** What the reservations take; kept, since rounds and plans ask for it at every machine. */
   private Resources taken = Resources.NONE;
 
-  /** The newest report of this term, null before the first. */
+  /** What no reservation takes; null while the room is not known. */
+  private Resources free;
+
+  /** The newest report of this term, null before the first. Changed by {@link #reported} alone. */
   Report report;
 
   /** The token that commands go out with now. */
@@ -60,10 +71,19 @@
   boolean listed;
 
   /** Direct commands are under way. */
-  boolean commanding;
+  private boolean commanding;
 
   /** Something waits that should not wait for the next report. */
-  boolean urgent;
+  private boolean urgent;
+
+  /** A search found room here and passed it over, since no task could be placed here then. */
+  boolean passedOver;
+
+  /**
+   * The newest report agrees with what is reserved in every task, so that the same tasks in the
+   * next one say nothing new.
+   */
+  boolean agrees;
 
   int unanswered;
   long commandNotBeforeMs;
@@ -99,8 +119,10 @@
   /** When the fetch of an image should be over. */
   final Object2LongOpenHashMap<String> fetchedAtMs = new Object2LongOpenHashMap<>();
 
-  MachineEntry(String name, long nowMs) {
+  MachineEntry(String name, int number, MachineSets sets, long nowMs) {
     this.name = name;
+    this.number = number;
+    this.sets = sets;
     this.sinceMs = nowMs;
     this.aliveMs = nowMs;
   }
@@ -120,12 +142,63 @@
   /** Takes what is known from the rent alone; the address comes with the first report or list. */
   void rentedAs(Cloud.Kind kind, eiderfork.model.MachineType type) {
     machine = new Machine(name, null, kind.type(), kind.zone(), kind.spot());
-    room = type == null ? null : type.room();
+    room(type == null ? null : type.room());
+  }
+
+  /** Takes what the machine's type offers. */
+  void room(Resources offered) {
+    room = offered;
+    freeChanged();
+    sets.roomIndex().grew(this);
+  }
+
+  /** Takes the newest report. */
+  void reported(Report newest) {
+    boolean first = report == null;
+    report = newest;
+    if (first) {
+      freeChanged();
+      sets.roomIndex().grew(this);
+    }
+  }
+
+  private void freeChanged() {
+    agrees = false;
+    free = room == null ? null : room.minus(taken);
+    if (report != null && room != null && machine != null) {
+      sets.roomIndex().put(this);
+    }
+  }
+
+  boolean isUrgent() {
+    return urgent;
+  }
+
+  /** Has the machine commanded soon. */
+  void setUrgent() {
+    agrees = false;
+    urgent = true;
+    sets.urgent(this, true);
+  }
+
+  void clearUrgent() {
+    urgent = false;
+    sets.urgent(this, false);
+  }
+
+  boolean isCommanding() {
+    return commanding;
+  }
+
+  void setCommanding(boolean value) {
+    commanding = value;
+    sets.commanding(this, value);
   }
 
   void add(Reservation p) {
     if (placed.add(p)) {
       taken = taken.plus(p.job.job.need());
+      freeChanged();
     }
   }
 
@@ -133,12 +206,14 @@
     if (placed.remove(p)) {
       // Nothing is left of sums of decimal amounts where nothing is left of what was added.
       taken = placed.isEmpty() ? Resources.NONE : taken.minus(p.job.job.need());
+      freeChanged();
+      sets.roomIndex().grew(this);
     }
   }
 
   /** What no reservation takes, whether its task has started or not. */
   Resources free() {
-    return room.minus(taken);
+    return free;
   }
 
   ImmutableList<eiderfork.model.TaskReport> tasks() {
--- a/src/main/java/eiderfork/core/MachineRents.java
+++ b/src/main/java/eiderfork/core/MachineRents.java
@@ -90,7 +90,6 @@
         ask(rent);
       }
     }
-    forgetSettled();
   }
 
   /** Rents whose machines are not known yet. */
@@ -191,7 +190,7 @@
   }
 
   /** A rent's key may go once its machines would be found without it. */
-  private void forgetSettled() {
+  void forgetSettled() {
     for (Rent rent : List.copyOf(rents.values())) {
       if (rent.machines == null) {
         continue;
--- a/src/main/java/eiderfork/core/MachineSearch.java
+++ b/src/main/java/eiderfork/core/MachineSearch.java
@@ -15,7 +15,11 @@
  * at once, and again only after it has taken a task.
  */
 final class MachineSearch {
-  private record Found(MachineEntry machine, double score, int order) {}
+  private record Found(MachineEntry machine, double score) {
+    int order() {
+      return machine.number;
+    }
+  }
 
   /** How many machines a sample has for each task. */
   private static final int SAMPLE = 8;
@@ -59,7 +63,7 @@
       sampled = false;
       return;
     }
-    List<MachineEntry> all = room.machines();
+    List<MachineEntry> all = room.candidates(entry.job, open);
     int sample = SAMPLE * entry.waiting.cardinality();
     sampled = room.examined() > mostExamined && all.size() > sample;
     if (sampled) {
@@ -68,8 +72,8 @@
       }
       all = all.subList(0, sample);
     }
-    for (int i = 0; i < all.size(); i++) {
-      look(all.get(i), i);
+    for (MachineEntry m : all) {
+      look(m);
     }
     if (!sampled) {
       open.stream()
@@ -78,15 +82,19 @@
     }
   }
 
-  private void look(MachineEntry m, int order) {
+  private void look(MachineEntry m) {
     room.countExamined();
     Resources left = room.of(m);
     if (!entry.job.need().fitsIn(left) || !PlacementRules.kindAllowed(entry.job, m)) {
       return;
     }
+    if (!room.isUsable(m)) {
+      m.passedOver = true;
+      return;
+    }
     roomy.add(m.zone());
     if (room.allowed(entry, m, perZone)) {
-      found.add(new Found(m, score.of(m, left), order));
+      found.add(new Found(m, score.of(m, left)));
     }
   }
 
@@ -104,6 +112,6 @@
   /** The best machine has taken a task. */
   void taken() {
     Found best = found.remove();
-    look(best.machine, best.order);
+    look(best.machine);
   }
 }
--- a/src/main/java/eiderfork/core/Packing.java
+++ b/src/main/java/eiderfork/core/Packing.java
@@ -3,8 +3,11 @@
 import eiderfork.config.Settings.Objective;
 import eiderfork.model.Job;
 import eiderfork.model.MachineType;
+import it.unimi.dsi.fastutil.objects.Object2IntMap;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * The bin packing of one plan: puts tasks onto machines that are up or on their way, first fit, and
@@ -14,22 +17,22 @@
   /** How much dearer a machine counts whose image fetch takes longer than the job may wait. */
   private static final double SLOW_FETCH_FACTOR = 2;
 
-  /**
-   * Where the search for the next task of a job goes on. Tasks of a job are alike, so a bin that
-   * did not take the one before takes none after it.
-   */
-  static final class Cursor {
-    private int sparingGpus;
-    private int any;
-  }
-
   private final Context context;
   private final Fleet fleet;
   private final Cloud cloud;
   private final GpuBalance balance;
   private final List<Bin> bins;
+  private final BinTree tree;
   private final int knownBins;
-  private int examined;
+
+  /** How many machines of a type each zone has or is to have, by type and zone. */
+  private final Object2IntMap<TypeInZone> machines = new Object2IntOpenHashMap<>();
+
+  private record TypeInZone(String type, String zone) {
+    static TypeInZone of(Cloud.Kind kind) {
+      return new TypeInZone(kind.type(), kind.zone());
+    }
+  }
 
   /**
    * @param bins the machines that may be counted on; bins for machines to rent are added at its end
@@ -41,6 +44,8 @@
     this.balance = balance;
     this.bins = bins;
     knownBins = bins.size();
+    tree = new BinTree(bins, balance);
+    bins.forEach(bin -> machines.mergeInt(TypeInZone.of(bin.kind), 1, Integer::sum));
   }
 
   /** The machines that the packing began with. */
@@ -55,72 +60,91 @@
 
   /** How often a bin was looked at for a task. */
   int examined() {
-    return examined;
+    return tree.visited();
   }
 
   /**
-   * Packs one task.
+   * Packs tasks of a job, which are all alike, one after the other.
    *
    * <p>A task without GPUs goes onto a GPU machine only where that leaves its free GPUs the
    * processors that they need, or where no other machine can be had. Packed like any other, small
    * services took the processors of GPU machines for good: on a fleet of 73 of them up to 94 GPUs
    * stood without while machines without GPUs were not even rented and arrays waited.
    *
-   * @param perZone how many tasks of the job each zone holds; counts this one in
+   * @param perZone how many tasks of the job each zone holds; counts these in
    * @param zoneMost how many a zone may hold
-   * @return whether some machine, up or yet to be rented, takes the task
+   * @return for how many some machine, up or yet to be rented, was found
    */
-  boolean put(Job job, Cursor cursor, Map<String, Integer> perZone, int zoneMost) {
-    boolean sparing = job.need().gpus() <= 0;
-    Bin bin = null;
-    if (sparing) {
-      bin = firstFitSparingGpus(job, cursor, perZone, zoneMost);
-      if (bin == null) {
-        bin = rentable(job, perZone, zoneMost, true);
+  int put(Job job, int tasks, Map<String, Integer> perZone, int zoneMost) {
+    int put = 0;
+    while (put < tasks) {
+      int index = find(job, perZone, zoneMost);
+      if (index < 0) {
+        return put;
       }
+      put += fill(index, job, tasks - put, perZone, zoneMost);
     }
-    if (bin == null) {
-      bin = firstFit(job, cursor, perZone, zoneMost);
-    }
-    if (bin == null) {
-      bin = rentable(job, perZone, zoneMost, false);
-    }
-    if (bin == null) {
-      return false;
-    }
-    bin.left = bin.left.minus(job.need());
-    perZone.merge(bin.kind.zone(), 1, Integer::sum);
-    return true;
+    return put;
   }
 
-  private Bin firstFitSparingGpus(
-      Job job, Cursor cursor, Map<String, Integer> perZone, int zoneMost) {
-    for (; cursor.sparingGpus < bins.size(); cursor.sparingGpus++) {
-      Bin bin = bins.get(cursor.sparingGpus);
-      if (accepts(bin, job, perZone, zoneMost) && balance.strandedBy(job.need(), bin.left) <= 0) {
-        return bin;
+  /** The bin for the next task of a job, or -1. */
+  private int find(Job job, Map<String, Integer> perZone, int zoneMost) {
+    long kinds = tree.kinds(kind -> allowed(job, kind, perZone, zoneMost));
+    int index = -1;
+    if (isSparing(job)) {
+      index =
+          tree.first(job.need(), kinds, true, bin -> accepts(bin, job, perZone, zoneMost, true));
+      if (index < 0) {
+        index = rentable(job, perZone, zoneMost, true);
       }
     }
-    return null;
+    if (index < 0) {
+      index =
+          tree.first(job.need(), kinds, false, bin -> accepts(bin, job, perZone, zoneMost, false));
+    }
+    return index < 0 ? rentable(job, perZone, zoneMost, false) : index;
   }
 
-  private Bin firstFit(Job job, Cursor cursor, Map<String, Integer> perZone, int zoneMost) {
-    for (; cursor.any < bins.size(); cursor.any++) {
-      Bin bin = bins.get(cursor.any);
-      if (accepts(bin, job, perZone, zoneMost)) {
-        return bin;
-      }
-    }
-    return null;
+  private static boolean isSparing(Job job) {
+    return job.need().gpus() <= 0;
+  }
+
+  /** Puts the first task into the bin that was found for it, and those behind it that fit, too. */
+  private int fill(int index, Job job, int tasks, Map<String, Integer> perZone, int zoneMost) {
+    Bin bin = bins.get(index);
+    boolean sparing = isSparing(job) && !strands(job, bin);
+    int put = 0;
+    do {
+      bin.left = bin.left.minus(job.need());
+      perZone.merge(bin.kind.zone(), 1, Integer::sum);
+      put++;
+    } while (put < tasks && accepts(bin, job, perZone, zoneMost, sparing));
+    tree.changed(index);
+    return put;
+  }
+
+  private boolean accepts(
+      Bin bin, Job job, Map<String, Integer> perZone, int zoneMost, boolean sparing) {
+    return job.need().fitsIn(bin.left)
+        && allowed(job, bin.kind, perZone, zoneMost)
+        && !(sparing && strands(job, bin));
+  }
+
+  private boolean strands(Job job, Bin bin) {
+    return balance.strandedBy(job.need(), bin.left) > 0;
   }
 
-  private boolean accepts(Bin bin, Job job, Map<String, Integer> perZone, int zoneMost) {
-    examined++;
-    return allowed(job, bin.kind, perZone, zoneMost) && job.need().fitsIn(bin.left);
+  /** Shows the machines that have room for one task of a job on kinds that it allows. */
+  void forEachWithRoom(Job job, Consumer<Bin> taker) {
+    tree.forEachWithRoom(job.need(), tree.kinds(kind -> allowsKind(job, kind)), taker);
   }
 
-  /** A new bin for the cheapest machine in stock that takes the job's tasks, or null. */
-  private Bin rentable(
+  /**
+   * The index of a new bin for the cheapest machine in stock that takes the job's tasks, or -1. Of
+   * zones that cost the same the one with the fewest machines is taken: where one zone after the
+   * other was filled, services that must be spread found the last one's room of no use.
+   */
+  private int rentable(
       Job job, Map<String, Integer> perZone, int zoneMost, boolean onlyWithoutGpus) {
     Bin best = null;
     double bestCost = Double.MAX_VALUE;
@@ -129,19 +153,37 @@
       if (fits == 0 || onlyWithoutGpus && type.room().gpus() > 0) {
         continue;
       }
-      for (String zone : type.zones()) {
-        for (boolean spot : new boolean[] {false, true}) {
-          Cloud.Kind kind = new Cloud.Kind(type.name(), zone, spot);
-          double cost = cost(job, type, spot, fits);
-          if (cost < bestCost && mayRent(kind) && allowed(job, kind, perZone, zoneMost)) {
-            bestCost = cost;
-            best = new Bin(null, kind, type.room(), type.room());
-          }
+      for (boolean spot : new boolean[] {false, true}) {
+        double cost = cost(job, type, spot, fits);
+        Cloud.Kind kind = cost < bestCost ? zoneFor(job, type, spot, perZone, zoneMost) : null;
+        if (kind != null) {
+          bestCost = cost;
+          best = new Bin(null, kind, type.room(), type.room());
         }
       }
     }
-    if (best != null) {
-      bins.add(best);
+    if (best == null) {
+      return -1;
+    }
+    tree.add(best);
+    machines.mergeInt(TypeInZone.of(best.kind), 1, Integer::sum);
+    return bins.size() - 1;
+  }
+
+  /**
+   * The type in the zone that has the fewest of it among those where the job may have it, or null.
+   */
+  private Cloud.Kind zoneFor(
+      Job job, MachineType type, boolean spot, Map<String, Integer> perZone, int zoneMost) {
+    Cloud.Kind best = null;
+    int fewest = Integer.MAX_VALUE;
+    for (String zone : type.zones()) {
+      Cloud.Kind kind = new Cloud.Kind(type.name(), zone, spot);
+      int count = machines.getInt(TypeInZone.of(kind));
+      if (count < fewest && mayRent(kind) && allowed(job, kind, perZone, zoneMost)) {
+        fewest = count;
+        best = kind;
+      }
     }
     return best;
   }
@@ -163,9 +205,12 @@
 
   private static boolean allowed(
       Job job, Cloud.Kind kind, Map<String, Integer> perZone, int zoneMost) {
+    return allowsKind(job, kind) && PlacementRules.zoneAccepts(job, kind.zone(), perZone, zoneMost);
+  }
+
+  private static boolean allowsKind(Job job, Cloud.Kind kind) {
     return job.allowsType(kind.type())
         && job.allowsZone(kind.zone())
-        && (job.spot() || !kind.spot())
-        && PlacementRules.zoneAccepts(job, kind.zone(), perZone, zoneMost);
+        && (job.spot() || !kind.spot());
   }
 }
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -44,7 +44,7 @@
   private final Deadlines deadlines;
 
   private final Map<String, Resources> usedByTeam = new HashMap<>();
-  private final RoundRoom room = new RoundRoom();
+  private final RoundRoom room;
   private final GangPlacer gangPlacer;
 
   /** Before this time no room is made, since making it has taken its share of the processor. */
@@ -52,9 +52,6 @@
 
   private final double fullSearchMost;
 
-  /** Of the jobs that {@link #ranked} last saw. */
-  private GpuBalance balance = GpuBalance.NONE;
-
   Placer(
       Context context,
       Term term,
@@ -78,12 +75,13 @@
             * context.settings.controller().cpuShare()
             * context.stepS()
             * SEARCH_SHARE;
+    room = new RoundRoom(fleet, liveness::usable);
     gangPlacer = new GangPlacer(jobs, room, context.random, fullSearchMost);
   }
 
   /** The balance of processors and GPUs that the jobs ask for. */
   GpuBalance gpuBalance() {
-    return balance;
+    return jobs.tally().balance();
   }
 
   /** How long tasks wait for their images. */
@@ -105,7 +103,7 @@
   boolean round() {
     boolean left = false;
     List<JobEntry> ranked = ranked();
-    room.clear();
+    room.begin(context.nowMs);
     if (ranked.stream().noneMatch(this::mayPlace)) {
       // Only ends are to be written.
       for (JobEntry entry : ranked) {
@@ -113,14 +111,8 @@
       }
       return left;
     }
-    for (MachineEntry m : fleet.machines()) {
-      if (liveness.usable(m)) {
-        room.add(m);
-      }
-    }
-    room.renewClaims(context.nowMs);
     Preemption preemption =
-        new Preemption(context, room, imageFetch, balance, deadlines, fullSearchMost);
+        new Preemption(context, room, imageFetch, gpuBalance(), deadlines, fullSearchMost);
     for (JobEntry entry : ranked) {
       int before = entry.placed.size();
       if (!mayNotWrite(entry) && mayPlace(entry)) {
@@ -190,23 +182,35 @@
 
   /** The jobs with something to do, the most urgent first. */
   List<JobEntry> ranked() {
-    JobRanking.Ranked ranked = ranking.rank(jobs.active());
     usedByTeam.clear();
-    usedByTeam.putAll(ranked.usedByTeam());
-    balance = ranked.balance();
-    return ranked.jobs();
+    return ranking.rank(jobs);
+  }
+
+  /** What a team uses, with what this round has placed for it. */
+  private Resources used(String team) {
+    Resources changed = usedByTeam.get(team);
+    return changed == null ? jobs.tally().used(team) : changed;
+  }
+
+  /** Forgets what belongs to a term that is over. */
+  void clear() {
+    room.clear();
+    makeRoomNotBeforeMs = 0;
   }
 
   private void place(JobEntry entry, Preemption preemption) {
+    if (surelyFindsNothing(entry)) {
+      return;
+    }
     Job job = entry.job;
     Team team = context.settings.teams().get(job.team());
     Map<String, Integer> perZone = PlacementRules.zonesOf(entry);
-    Resources used = usedByTeam.getOrDefault(job.team(), Resources.NONE);
+    Resources used = used(job.team());
     List<RoundRoom.Claim> own = room.takeClaims(entry);
     boolean noRoom = false;
     long attempt = entry.nextAttempt();
     AllocRoom stored = allocRoom(entry);
-    MachineScore score = new MachineScore(context, imageFetch, balance, deadlines, entry);
+    MachineScore score = new MachineScore(context, imageFetch, gpuBalance(), deadlines, entry);
     MachineSearch search =
         new MachineSearch(
             room, score, context.random, fullSearchMost, entry, perZone, own.isEmpty());
@@ -236,7 +240,6 @@
       jobs.propose(entry, index, attempt, m);
       stored.add(attempt, m.name);
       own.removeIf(claim -> claim.machine() == m);
-      room.take(m, job.need());
       perZone.merge(m.zone(), 1, Integer::sum);
       search.taken();
       used = used.plus(job.need());
@@ -249,17 +252,26 @@
     }
   }
 
+  /**
+   * Whether searches have proved that the job finds no room, and no room may be made for it now.
+   * Thousands of jobs wait while machines boot, in round after round.
+   */
+  private boolean surelyFindsNothing(JobEntry entry) {
+    boolean mayMakeRoom = entry.job.kind() != JobKind.ARRAY && context.nowMs >= makeRoomNotBeforeMs;
+    return !mayMakeRoom && !room.hasClaims(entry) && room.knownFull(entry.job);
+  }
+
   /** Places a gang as a whole, or has room made for the whole of it. */
   private void placeGang(JobEntry entry, Preemption preemption) {
     Job job = entry.job;
     Team team = context.settings.teams().get(job.team());
-    Resources used = usedByTeam.getOrDefault(job.team(), Resources.NONE);
+    Resources used = used(job.team());
     Resources with = used.plus(job.need().times(job.tasks()));
     if (!entry.gang.mayBegin() || team == null || !team.withinLimit(with)) {
       return;
     }
     List<RoundRoom.Claim> own = room.takeClaims(entry);
-    MachineScore score = new MachineScore(context, imageFetch, balance, deadlines, entry);
+    MachineScore score = new MachineScore(context, imageFetch, gpuBalance(), deadlines, entry);
     if (gangPlacer.place(entry, score, allocRoom(entry))) {
       usedByTeam.put(job.team(), with);
     } else if (!own.isEmpty()) {
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -7,6 +7,7 @@
 import eiderfork.model.Record;
 import eiderfork.model.Resources;
 import eiderfork.model.Team;
+import it.unimi.dsi.fastutil.objects.Reference2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -122,9 +123,6 @@
     List<JobEntry> ranked = placer.ranked();
     Packing packing = new Packing(context, fleet, cloud, placer.gpuBalance(), bins());
     Map<String, Resources> used = new HashMap<>();
-    for (JobEntry entry : jobs.active()) {
-      used.merge(entry.job.team(), entry.job.need().times(entry.counted()), Resources::plus);
-    }
     for (JobEntry entry : ranked) {
       if (entry.aborted || entry.aborting || context.nowMs < entry.notBeforeMs) {
         continue;
@@ -136,7 +134,7 @@
     examined = packing.examined();
     describe();
     rent(packing.toRent());
-    drain.plan(packing.known(), !packing.toRent().isEmpty());
+    drain.plan(packing, !packing.toRent().isEmpty());
     giveBack(packing.known());
   }
 
@@ -208,35 +206,27 @@
         }
       }
     }
-    bins.sort(Comparator.comparingDouble(bin -> bin.left.shareOf(bin.room)));
+    bins.sort(Comparator.comparingDouble(bin -> bin.shareLeft));
     return bins;
   }
 
   private void packHeadroom(Arrivals a, Packing packing) {
     int ready = headroom(a);
     int zoneMost = a.sample.spread() ? (ready + 1) / 2 : ready;
-    Map<String, Integer> perZone = new HashMap<>();
-    Packing.Cursor cursor = new Packing.Cursor();
-    for (int i = 0; i < ready; i++) {
-      if (!packing.put(a.sample, cursor, perZone, zoneMost)) {
-        return;
-      }
-    }
+    packing.put(a.sample, ready, new HashMap<>(), zoneMost);
   }
 
   private void pack(JobEntry entry, Packing packing, Map<String, Resources> used) {
     Job job = entry.job;
     Team team = context.settings.teams().get(job.team());
-    Map<String, Integer> perZone = PlacementRules.zonesOf(entry);
-    int tasks = entry.waiting.cardinality();
-    Packing.Cursor cursor = new Packing.Cursor();
-    for (int i = 0; i < tasks; i++) {
-      Resources with = used.getOrDefault(job.team(), Resources.NONE).plus(job.need());
-      boolean mayUse = team != null && team.withinLimit(with);
-      if (!mayUse || !packing.put(job, cursor, perZone, job.perZone())) {
-        return;
-      }
-      used.put(job.team(), with);
+    if (team == null) {
+      return;
+    }
+    Resources before = used.computeIfAbsent(job.team(), jobs.tally()::used);
+    int tasks = team.tasksWithinLimit(before, job.need(), entry.waiting.cardinality());
+    if (tasks > 0) {
+      int put = packing.put(job, tasks, PlacementRules.zonesOf(entry), job.perZone());
+      used.put(job.team(), before.plus(job.need().times(put)));
     }
   }
 
@@ -264,7 +254,7 @@
         if (p.wanted()) {
           Map<String, Integer> perZone = PlacementRules.zonesOf(p.job);
           perZone.merge(m.zone(), -1, Integer::sum);
-          packing.put(p.job.job, new Packing.Cursor(), perZone, p.job.job.perZone());
+          packing.put(p.job.job, 1, perZone, p.job.job.perZone());
         }
       }
     }
@@ -310,8 +300,12 @@
   }
 
   private void giveBack(List<Bin> bins) {
-    Map<MachineEntry, Bin> packed = new HashMap<>();
-    bins.forEach(bin -> packed.put(bin.machine, bin));
+    Map<MachineEntry, Bin> packed = new Reference2ObjectOpenHashMap<>();
+    for (Bin bin : bins) {
+      if (bin.machine != null && bin.machine.placed.isEmpty()) {
+        packed.put(bin.machine, bin);
+      }
+    }
     int silent = 0;
     int live = 0;
     for (MachineEntry m : fleet.machines()) {
--- a/src/main/java/eiderfork/core/Preemption.java
+++ b/src/main/java/eiderfork/core/Preemption.java
@@ -48,7 +48,11 @@
       String image) {}
 
   /** What stopping some tasks of a machine would cost. */
-  private record Option(MachineEntry machine, List<Reservation> victims, double loss, int order) {}
+  private record Option(MachineEntry machine, List<Reservation> victims, double loss) {
+    int order() {
+      return machine.number;
+    }
+  }
 
   private record Victim(Reservation placed, double loss) {}
 
@@ -58,7 +62,6 @@
   private final GpuBalance balance;
   private final Deadlines deadlines;
   private final double mostExamined;
-  private final List<MachineEntry> machines;
 
   /** What moved replicas will take where they go; it only guards against moving too many. */
   private final Map<MachineEntry, Resources> filling = new HashMap<>();
@@ -66,11 +69,17 @@
   /** The same for the option that is being looked at. */
   private final Map<MachineEntry, Resources> trying = new HashMap<>();
 
-  /**
-   * For replicas of a profile, zone by zone, the first machine that may take one more of them;
-   * those before it are full for good.
-   */
-  private final Map<TaskProfile, Map<String, int[]>> firstOpen =
+  /** Machines of a zone that may take replicas of a profile; those before the first are full. */
+  private static final class Targets {
+    final List<MachineEntry> machines;
+    int first;
+
+    Targets(List<MachineEntry> machines) {
+      this.machines = machines;
+    }
+  }
+
+  private final Map<TaskProfile, Map<String, Targets>> targets =
       new Reference2ObjectOpenHashMap<>();
 
   /** What is to be stopped for the gang that room is being made for. */
@@ -100,7 +109,6 @@
     this.balance = balance;
     this.deadlines = deadlines;
     this.mostExamined = mostExamined;
-    machines = room.machines();
   }
 
   /** How many looks at machines were taken for this. */
@@ -127,12 +135,11 @@
     PriorityQueue<Option> options =
         new PriorityQueue<>(
             Comparator.comparingDouble(Option::loss).thenComparingInt(Option::order));
-    for (int i = 0; i < machines.size(); i++) {
-      MachineEntry m = machines.get(i);
+    for (MachineEntry m : room.machines()) {
       if (open.contains(m.zone())
           && room.allowed(entry, m, perZone)
           && imageFetch.waitS(job, m) <= imageS) {
-        add(options, option(job, m, i));
+        add(options, option(job, m));
       }
     }
     for (int made = 0; made < wanted; made++) {
@@ -145,12 +152,12 @@
       for (Reservation p : best.victims) {
         LOG.info("stopping {} on {} for {}", p.id(), best.machine.name, job.uid());
         stop(p);
-        best.machine.urgent = true;
+        best.machine.setUrgent();
       }
       room.claim(
           new RoundRoom.Claim(entry, best.machine, context.nowMs + CLAIM_STEPS * context.stepMs()));
       perZone.merge(best.machine.zone(), 1, Integer::sum);
-      add(options, option(job, best.machine, best.order));
+      add(options, option(job, best.machine));
     }
     return wanted;
   }
@@ -225,7 +232,7 @@
       if (!room.allowed(entry, top.machine, perZone)) {
         continue;
       }
-      Option now = option(entry.job, top.machine, top.order);
+      Option now = option(entry.job, top.machine);
       if (now != null && (options.isEmpty() || now.loss <= options.peek().loss)) {
         return now;
       }
@@ -235,7 +242,7 @@
   }
 
   /** The tasks to stop on a machine so that one of {@code job} fits, or null. */
-  private Option option(Job job, MachineEntry m, int order) {
+  private Option option(Job job, MachineEntry m) {
     examined++;
     room.countExamined();
     trying.clear();
@@ -252,7 +259,7 @@
       }
     }
     if (job.need().fitsIn(left)) {
-      return new Option(m, List.of(), imageLoss(job, m), order);
+      return new Option(m, List.of(), imageLoss(job, m));
     }
     able.sort(Comparator.comparingDouble(Victim::loss));
     List<Victim> victims = new ArrayList<>();
@@ -282,7 +289,7 @@
       loss += v.loss;
       stopped.add(v.placed);
     }
-    return new Option(m, stopped, loss, order);
+    return new Option(m, stopped, loss);
   }
 
   /**
@@ -307,21 +314,20 @@
   private boolean moveTarget(Reservation p) {
     Job job = p.job.job;
     String zone = p.machine.zone();
-    int[] first =
-        firstOpen
+    Targets open =
+        targets
             .computeIfAbsent(p.job.profile, profile -> new HashMap<>())
-            .computeIfAbsent(zone, z -> new int[1]);
-    for (int i = first[0]; i < machines.size(); i++) {
-      MachineEntry m = machines.get(i);
+            .computeIfAbsent(zone, z -> new Targets(room.candidates(job, Set.of(z))));
+    for (int i = open.first; i < open.machines.size(); i++) {
+      MachineEntry m = open.machines.get(i);
       examined++;
       room.countExamined();
       Resources left = room.of(m).minus(filling.getOrDefault(m, Resources.NONE));
-      if (!m.zone().equals(zone)
-          || !PlacementRules.kindAllowed(job, m)
+      if (!room.isUsable(m)
           || !acceptsMoved(job, left)
           || imageFetch.waitS(job, m) > context.stepS()) {
-        if (i == first[0]) {
-          first[0]++;
+        if (i == open.first) {
+          open.first++;
         }
         continue;
       }
--- a/src/main/java/eiderfork/core/ReportReconciler.java
+++ b/src/main/java/eiderfork/core/ReportReconciler.java
@@ -112,7 +112,7 @@
           m.errors.add(job.job.uid());
         } else {
           // The job fails everywhere: no machine is to blame for it.
-          fleet.machines().forEach(other -> other.errors.remove(job.job.uid()));
+          forgive(job);
         }
         if (m.errors.size() >= FAULTY_ERRORS) {
           LOG.info("machine {} is faulty", m.name);
@@ -132,10 +132,19 @@
     kick.run();
   }
 
+  private void forgive(JobEntry job) {
+    for (String name : job.failedOn) {
+      MachineEntry other = fleet.get(name);
+      if (other != null) {
+        other.errors.remove(job.job.uid());
+      }
+    }
+  }
+
   /** Raises the token, so that no unanswered command is executed any more. */
   void raise(MachineEntry m) {
     m.token = Math.max(m.token, term.firstToken()) + 1;
-    m.urgent = true;
+    m.setUrgent();
   }
 
   /** The machine is given this task's image, or shows that it has it. */
--- a/src/main/java/eiderfork/core/RoundRoom.java
+++ b/src/main/java/eiderfork/core/RoundRoom.java
@@ -2,95 +2,159 @@
 
 import eiderfork.model.Job;
 import eiderfork.model.Resources;
+import it.unimi.dsi.fastutil.objects.Reference2ObjectOpenHashMap;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.Collection;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
- * The room that machines have left in a round, and the claims on it. Room only shrinks until the
- * next round begins, apart from claims and reservations that are taken back.
+ * The room that machines have left beside the claims on it. Within a round it only shrinks, apart
+ * from claims and reservations that are taken back.
  */
 final class RoundRoom {
   /** Room on a machine that is being made for a job; nobody else may take it meanwhile. */
   record Claim(JobEntry entry, MachineEntry machine, long untilMs) {}
 
-  private final Map<MachineEntry, Resources> free = new LinkedHashMap<>();
-  private final Set<String> zones = new LinkedHashSet<>();
+  private final Fleet fleet;
+  private final Predicate<MachineEntry> usable;
+
+  /** What claims take of the machines that have any. */
+  private final Map<MachineEntry, Resources> claimed = new Reference2ObjectOpenHashMap<>();
+
   private final List<Claim> claims = new ArrayList<>();
-  private final FailedSearches proved = new FailedSearches();
-  private int examined;
 
-  /** Forgets the last round's room, but not its claims. */
-  void clear() {
-    free.clear();
-    zones.clear();
-    proved.clear();
-    examined = 0;
-  }
+  /** The machines that may be used in this round; null until they are asked for. */
+  private List<MachineEntry> machines;
+
+  private int examined;
 
-  /** Adds the room of a machine that may be used in this round. */
-  void add(MachineEntry m) {
-    free.put(m, m.free());
-    zones.add(m.zone());
+  /**
+   * @param usable whether tasks may be placed on a machine now
+   */
+  RoundRoom(Fleet fleet, Predicate<MachineEntry> usable) {
+    this.fleet = fleet;
+    this.usable = usable;
   }
 
-  /** Takes up the claims of earlier rounds that are still of use. */
-  void renewClaims(long nowMs) {
+  /** Begins a round: keeps the claims of earlier ones that are still of use. */
+  void begin(long nowMs) {
+    machines = null;
+    examined = 0;
     List<Claim> open = List.copyOf(claims);
     claims.clear();
+    claimed.clear();
     for (Claim claim : open) {
       boolean lives =
           claim.untilMs > nowMs
               && !claim.entry.over()
               && !claim.entry.waiting.isEmpty()
-              && free.containsKey(claim.machine);
+              && fleet.get(claim.machine.name) == claim.machine
+              && usable.test(claim.machine);
       if (lives) {
         claim(claim);
+      } else {
+        index().grew(claim.machine);
       }
     }
   }
 
+  /** Forgets everything of a term that is over. */
+  void clear() {
+    machines = null;
+    claims.clear();
+    claimed.clear();
+  }
+
   void claim(Claim claim) {
     claims.add(claim);
-    take(claim.machine, claim.entry.job.need());
+    claimed.merge(claim.machine, claim.entry.job.need(), Resources::plus);
   }
 
   /** Opens the room claimed for a job to it, and returns the claims. */
   List<Claim> takeClaims(JobEntry entry) {
     List<Claim> own = new ArrayList<>();
-    claims.removeIf(
-        claim -> {
-          if (claim.entry != entry) {
-            return false;
-          }
-          giveBack(claim.machine, entry.job.need());
-          return own.add(claim);
-        });
+    for (Iterator<Claim> all = claims.iterator(); all.hasNext(); ) {
+      Claim claim = all.next();
+      if (claim.entry == entry) {
+        all.remove();
+        own.add(claim);
+        giveBack(claim);
+      }
+    }
     return own;
   }
 
+  boolean hasClaims(JobEntry entry) {
+    for (Claim claim : claims) {
+      if (claim.entry == entry) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Whether searches have proved that a task of this job fits nowhere. */
+  boolean knownFull(Job job) {
+    for (String zone : index().zones()) {
+      if (!failedSearches().knows(job, zone)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void giveBack(Claim claim) {
+    boolean others = claims.stream().anyMatch(it -> it.machine == claim.machine);
+    if (others) {
+      claimed.merge(claim.machine, claim.entry.job.need(), Resources::minus);
+    } else {
+      claimed.remove(claim.machine);
+    }
+    index().grew(claim.machine);
+  }
+
+  private RoomIndex index() {
+    return fleet.sets().roomIndex();
+  }
+
+  /** All machines that may be used, in the order in which they became known. */
   List<MachineEntry> machines() {
-    return new ArrayList<>(free.keySet());
+    if (machines == null) {
+      machines = new ArrayList<>();
+      for (MachineEntry m : fleet.machines()) {
+        if (usable.test(m)) {
+          machines.add(m);
+        }
+      }
+    }
+    return machines;
   }
 
-  Resources of(MachineEntry m) {
-    return free.get(m);
+  /** The machines in these zones on which a task of the job may find room. */
+  List<MachineEntry> candidates(Job job, Collection<String> zones) {
+    List<MachineEntry> found = new ArrayList<>();
+    index().forEachCandidate(job, zones, number -> found.add(fleet.get(number)));
+    return found;
   }
 
-  void take(MachineEntry m, Resources need) {
-    free.merge(m, need, Resources::minus);
+  boolean isUsable(MachineEntry m) {
+    return usable.test(m);
   }
 
-  void giveBack(MachineEntry m, Resources need) {
-    free.merge(m, need, Resources::plus);
+  /** What neither reservations nor claims take. */
+  Resources of(MachineEntry m) {
+    Resources taken = claimed.get(m);
+    return taken == null ? m.free() : m.free().minus(taken);
   }
 
-  /** What searches of this round have proved to find no room. */
+  /** What searches have proved to find no room. */
   FailedSearches failedSearches() {
-    return proved;
+    return index().failedSearches();
   }
 
   /** Counts a look at a machine for a job. */
@@ -107,7 +171,7 @@
   Set<String> openZones(JobEntry entry, Map<String, Integer> perZone) {
     Job job = entry.job;
     Set<String> open = new LinkedHashSet<>();
-    for (String zone : zones) {
+    for (String zone : index().zones()) {
       if (job.allowsZone(zone) && PlacementRules.zoneAccepts(job, zone, perZone, job.perZone())) {
         open.add(zone);
       }
@@ -121,7 +185,7 @@
     if (!PlacementRules.kindAllowed(job, m)) {
       return false;
     }
-    if (entry.failedOn.contains(m.name) && entry.failedOn.size() < free.size()) {
+    if (entry.failedOn.contains(m.name) && entry.failedOn.size() < index().size()) {
       return false;
     }
     return PlacementRules.zoneAccepts(job, m.zone(), perZone, job.perZone());
--- a/src/main/java/eiderfork/core/WorkerControl.java
+++ b/src/main/java/eiderfork/core/WorkerControl.java
@@ -84,10 +84,10 @@
     if (m.token == 0) {
       m.token = term.firstToken() + 1;
     }
-    m.answeredMs = context.nowMs;
+    fleet.answered(m);
     // While direct commands are under way, the two ways could overtake each other.
     ImmutableList<Command> commands = ImmutableList.of();
-    if (news && !m.commanding) {
+    if (news && !m.agrees && !m.isCommanding()) {
       commands = mayCommand() ? commands(m) : stops(m);
     }
     context.emit(new Effect.AnswerWorker(ticket, m.token, commands));
@@ -98,12 +98,19 @@
     return term.sure() && rebuilt;
   }
 
-  /** A job turned out to be cancelled: what machines show of it is to stop. */
+  /**
+   * A job turned out to be cancelled: what machines show of it is to stop. Where memory holds the
+   * job, its reservations tell where it runs, and what runs without one is stopped at the next
+   * report anyhow.
+   */
   void cancelled(String uid) {
+    if (rebuilt && jobs.get(uid) != null) {
+      return;
+    }
     for (MachineEntry m : fleet.machines()) {
       for (TaskReport task : m.tasks()) {
         if (!task.ended() && task.attempt().task().job().equals(uid)) {
-          m.urgent = true;
+          m.setUrgent();
         }
       }
     }
@@ -129,7 +136,8 @@
     if (before != null && !report.newerThan(before.session(), before.seq())) {
       return false;
     }
-    m.report = report;
+    boolean sameTasks = saysNothingNew(m, report);
+    m.reported(sameTasks ? report.withTasks(before.tasks()) : report);
     m.heardMs = context.nowMs;
     m.aliveMs = context.nowMs;
     m.booting = false;
@@ -141,14 +149,40 @@
     }
     if (liveness.shown(m) && (before == null || before.token() < term.firstToken())) {
       // From here on only this term's answers renew the lease.
-      m.answeredMs = Math.max(m.answeredMs, context.nowMs);
+      fleet.answered(m);
     }
-    if (rebuilt) {
+    if (liveness.shown(m)) {
+      fleet.sets().shown(m);
+    }
+    if (rebuilt && !sameTasks) {
+      m.agrees = false;
       reconciler.reconcile(m);
     }
+    noteUsable(m);
     return true;
   }
 
+  /**
+   * Whether a report has the tasks of the one before, which agreed with what is reserved. Most
+   * reports do, and nothing follows from them but that the machine is alive.
+   */
+  private static boolean saysNothingNew(MachineEntry m, Report report) {
+    Report before = m.report;
+    return m.agrees
+        && report.session() == before.session()
+        && report.token() == before.token()
+        && report.noticeS() == null
+        && report.tasks().equals(before.tasks());
+  }
+
+  /** What searches have proved does not hold for a machine that they passed over. */
+  private void noteUsable(MachineEntry m) {
+    if (m.passedOver && liveness.usable(m)) {
+      m.passedOver = false;
+      fleet.sets().roomIndex().grew(m);
+    }
+  }
+
   /** The commands that a worker needs now. */
   private ImmutableList<Command> commands(MachineEntry m) {
     ImmutableList.Builder<Command> list = ImmutableList.builder();
@@ -158,14 +192,17 @@
         held.add(p.id());
       }
     }
+    boolean agrees = m.tasks().size() == m.placed.size();
     for (TaskReport task : m.tasks()) {
       Attempt attempt = task.attempt();
       if (jobs.isFrozen(attempt.task().job())) {
+        agrees = false;
         continue;
       }
       JobEntry job = jobs.get(attempt.task().job());
       Reservation p = job == null ? null : job.placed.get(attempt.task().index());
       boolean ours = p != null && held.contains(attempt);
+      agrees &= ours && p.wanted() && p.job.gang == null && isUnderWay(task);
       if (task.ended()) {
         if (!ours
             && (job == null || !jobs.mustKeep(job, attempt.number(), attempt.task().index()))) {
@@ -192,23 +229,29 @@
         }
       }
     }
-    m.urgent = false;
+    m.clearUrgent();
+    m.agrees = agrees;
     return list.build();
   }
 
+  private static boolean isUnderWay(TaskReport task) {
+    return task.state() == TaskReport.State.RUNNING || task.state() == TaskReport.State.FETCHING;
+  }
+
   void tick() {
-    // Every worker turns to a new leader at once, and commands go out beside that; without a bound
-    // on them the sockets ran out, and nobody could connect.
-    int free = context.settings.controller().outbound();
-    int forCommands = free / 2;
-    for (MachineEntry m : fleet.machines()) {
-      free -= m.commanding ? 1 : 0;
-    }
     if (rebuilt) {
       lapses.settleLapsed();
     }
-    for (MachineEntry m : fleet.machines()) {
-      if (m.addr() == null || m.commanding || context.nowMs < m.commandNotBeforeMs || free <= 0) {
+    // Every worker turns to a new leader at once, and commands go out beside that; without a bound
+    // on them the sockets ran out, and nobody could connect.
+    int forCommands = context.settings.controller().outbound() / 2;
+    int free = context.settings.controller().outbound() - fleet.sets().commandingCount();
+    for (int number : fleet.sets().toContact()) {
+      if (free <= 0) {
+        return;
+      }
+      MachineEntry m = fleet.get(number);
+      if (m.addr() == null || m.isCommanding() || context.nowMs < m.commandNotBeforeMs) {
         continue;
       }
       if (m.report == null || !liveness.shown(m)) {
@@ -216,19 +259,19 @@
         if (!m.booting && context.nowMs - electedMs > context.stepMs() && free > forCommands) {
           reach(m);
         }
-      } else if (m.urgent && liveness.heard(m)) {
+      } else if (m.isUrgent() && liveness.heard(m)) {
         if (mayCommand()) {
           command(m);
         } else {
           stop(m);
         }
       }
-      free -= m.commanding ? 1 : 0;
+      free -= m.isCommanding() ? 1 : 0;
     }
   }
 
   private void reach(MachineEntry m) {
-    m.commanding = true;
+    m.setCommanding(true);
     if (m.report == null) {
       context.ask(
           call -> new Effect.AskInspect(call, m.addr(), context.stepMs() * 2),
@@ -242,7 +285,7 @@
   private void stop(MachineEntry m) {
     ImmutableList<Command> stops = stops(m);
     if (!stops.isEmpty()) {
-      m.commanding = true;
+      m.setCommanding(true);
       send(m, stops);
     }
   }
@@ -259,7 +302,7 @@
     if (prompt.isEmpty() && !raiseOnly) {
       return;
     }
-    m.commanding = true;
+    m.setCommanding(true);
     if (prompt.stream().anyMatch(Command.Run.class::isInstance)) {
       m.directToken = m.token;
     }
@@ -276,10 +319,10 @@
   }
 
   private void commanded(MachineEntry m, Reply reply, long token) {
-    m.commanding = false;
     if (fleet.get(m.name) != m || !term.leading()) {
       return;
     }
+    m.setCommanding(false);
     if (reply instanceof Reply.WorkerAnswer says) {
       m.unanswered = 0;
       if (says.report().token() >= term.endOfTokens()) {
@@ -291,14 +334,14 @@
         m.token = term.firstToken() + 1;
       }
       if (!says.executed()) {
-        m.urgent = true;
+        m.setUrgent();
       }
     } else {
       // Unanswered commands may be executed yet; a higher token ends that.
       m.unanswered++;
       if (token > 0) {
         reconciler.raise(m);
-        m.urgent = false;
+        m.clearUrgent();
       }
       m.commandNotBeforeMs =
           context.nowMs + context.stepMs() + context.random.nextLong(context.stepMs());
--- a/src/main/java/eiderfork/model/Report.java
+++ b/src/main/java/eiderfork/model/Report.java
@@ -11,6 +11,11 @@
     Double noticeS,
     ImmutableList<TaskReport> tasks) {
 
+  /** This report with an equal list of tasks, so that memory holds one list for both. */
+  public Report withTasks(ImmutableList<TaskReport> equalTasks) {
+    return new Report(machine, session, seq, token, noticeS, equalTasks);
+  }
+
   /** Whether this report was made after the message with that session and sequence number. */
   public boolean newerThan(long otherSession, long otherSeq) {
     return session > otherSession || (session == otherSession && seq > otherSeq);
--- a/src/main/java/eiderfork/model/Resources.java
+++ b/src/main/java/eiderfork/model/Resources.java
@@ -6,7 +6,7 @@
   public static final Resources NONE = new Resources(0, 0, 0);
 
   /** Sums of decimal amounts pick up rounding dust; nothing real is smaller than this. */
-  private static final double DUST = 1e-6;
+  public static final double DUST = 1e-6;
 
   /** The sum of both amounts. */
   public Resources plus(Resources o) {
@@ -25,7 +25,12 @@
 
   /** Whether no part of this amount exceeds the same part of {@code room}. */
   public boolean fitsIn(Resources room) {
-    return cpus <= room.cpus + DUST && gpus <= room.gpus + DUST && ramGb <= room.ramGb + DUST;
+    return fitsIn(room.cpus, room.gpus, room.ramGb);
+  }
+
+  /** Whether no part of this amount exceeds what there is of it. */
+  public boolean fitsIn(double roomCpus, double roomGpus, double roomRamGb) {
+    return cpus <= roomCpus + DUST && gpus <= roomGpus + DUST && ramGb <= roomRamGb + DUST;
   }
 
   /** How many of {@code one} fit into this amount. */
--- a/src/test/java/eiderfork/core/JobTableTest.java
+++ b/src/test/java/eiderfork/core/JobTableTest.java
@@ -11,6 +11,8 @@
 import eiderfork.model.MachineType;
 import eiderfork.model.Record;
 import eiderfork.model.Resources;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
@@ -87,4 +89,83 @@
     // The cache of this type holds two, and the record of the third job is the oldest.
     assertEquals(List.of("img-2", "img-1"), List.copyOf(m.images.keySet()));
   }
+
+  /** What is counted as jobs change is what a look at every job would count. */
+  @Test
+  void talliesAgreeWithTheJobsWhateverHappens() {
+    Random random = new Random(3);
+    List<JobEntry> entries = new ArrayList<>();
+    List<Reservation> placed = new ArrayList<>();
+    MachineEntry machine = fleet.known("n-1");
+    for (int step = 0; step < 3000; step++) {
+      JobEntry entry = entries.isEmpty() ? null : entries.get(random.nextInt(entries.size()));
+      Reservation p = placed.isEmpty() ? null : placed.get(random.nextInt(placed.size()));
+      switch (random.nextInt(9)) {
+        case 0 -> {
+          JobKind kind = random.nextBoolean() ? JobKind.SERVICE : JobKind.GANG;
+          double gpus = random.nextInt(3) * 0.7;
+          entries.add(jobs.add(Samples.job(step, kind, 4, gpus), step));
+        }
+        case 1, 2, 3 -> {
+          int index = entry == null ? -1 : entry.waiting.nextSetBit(0);
+          if (index >= 0 && (entry.gang == null || entry.gang.mayBegin())) {
+            placed.add(jobs.propose(entry, index, step, machine));
+          }
+        }
+        case 4, 5 -> {
+          if (p != null) {
+            placed.remove(p);
+            jobs.release(p, random.nextBoolean());
+          }
+        }
+        case 6 -> {
+          if (p != null && p.job.placed.get(p.index) == p && !p.job.aborted) {
+            placed.remove(p);
+            jobs.withdraw(p);
+          }
+        }
+        case 7 -> {
+          if (entry != null && random.nextInt(4) == 0) {
+            jobs.markAborted(entry.job.uid());
+          }
+        }
+        default -> {
+          if (entry != null && random.nextInt(10) == 0) {
+            jobs.freeze(entry.job.uid());
+          } else if (entry != null && random.nextInt(10) == 0) {
+            jobs.forget(entry);
+            entries.remove(entry);
+          } else if (entry != null) {
+            entry.uncommitted.clear();
+            jobs.changed(entry);
+          }
+        }
+      }
+      assertTalliesAgree();
+    }
+  }
+
+  private void assertTalliesAgree() {
+    Resources used = Resources.NONE;
+    double cpusOnGpus = 0;
+    double gpus = 0;
+    List<JobEntry> withWork = new ArrayList<>();
+    for (JobEntry entry : jobs.active()) {
+      Resources need = entry.job.need();
+      used = used.plus(need.times(entry.counted()));
+      if (need.gpus() > 0) {
+        cpusOnGpus += need.cpus() * entry.job.tasks();
+        gpus += need.gpus() * entry.job.tasks();
+      }
+      if (!entry.waiting.isEmpty() || entry.dirty) {
+        withWork.add(entry);
+      }
+    }
+    Resources tallied = jobs.tally().used("blue");
+    assertEquals(used.cpus(), tallied.cpus(), Resources.DUST);
+    assertEquals(used.gpus(), tallied.gpus(), Resources.DUST);
+    double perGpu = gpus > 0 ? cpusOnGpus / gpus : 0;
+    assertEquals(perGpu, jobs.tally().balance().cpusPerGpu(), Resources.DUST);
+    assertEquals(new HashSet<>(withWork), new HashSet<>(jobs.withWork()));
+  }
 }
