No fixed limit binds a cell below 6,000 machines

Change: rents of a kind that is filled go out together within the rate; each page is a call of its own and alone repeated; an oversized answer has the keys read anew; kept connections are a part of all; one more machine emptied at once for each thousand; forgotten after 60 leases.

--- a/src/main/java/eiderfork/config/Settings.java
+++ b/src/main/java/eiderfork/config/Settings.java
@@ -99,8 +99,10 @@
     return Math.min(stateLimits.txnOps(), nextStateLimits.txnOps());
   }
 
-  /** What a controller's machine gives it: a share of one core, and sockets. */
-  public record Controller(double cpuShare, int sockets) {
+  /**
+   * What a controller's machine gives it: a share of one core, sockets, and memory in megabytes.
+   */
+  public record Controller(double cpuShare, int sockets, double memoryMb) {
     /** Workers and users come in on sockets of their own; this part is for what goes out. */
     private static final int OUTBOUND_PART = 8;
 
--- a/src/main/java/eiderfork/config/SettingsFile.java
+++ b/src/main/java/eiderfork/config/SettingsFile.java
@@ -20,12 +20,12 @@
   /** A machine's name is no longer than a key may be. */
   private static final int MOST_NAME_BYTES = 200;
 
-  /**
-   * What a controller takes with the heap of the deploy file, in MB; the largest fleet measured
-   * took 88.
-   */
+  /** What a controller of a small deployment takes, in MB, with some to spare. */
   private static final double LEAST_MEMORY_MB = 96;
 
+  /** What a controller may take where the settings do not say. */
+  private static final double UNKNOWN_MEMORY_MB = 256;
+
   private final String file;
 
   private SettingsFile(String file) {
@@ -95,8 +95,9 @@
         state.has("next")
             ? stateLimits(table(state, inState, "next"), inState + ".next", state)
             : stateLimits;
+    double memoryMb = number(resources, inResources, "memory_mb", UNKNOWN_MEMORY_MB);
     check(
-        number(resources, inResources, "memory_mb", LEAST_MEMORY_MB) >= LEAST_MEMORY_MB,
+        memoryMb >= LEAST_MEMORY_MB,
         inResources,
         "memory_mb",
         "less than a controller may take (" + (int) LEAST_MEMORY_MB + ")");
@@ -118,7 +119,8 @@
             positive(cloud, inCloud, "rps"), positive(cloud, inCloud, "list_lag_s")),
         new Settings.Controller(
             positive(resources, inResources, "cpu_share"),
-            (int) positive(resources, inResources, "sockets")),
+            (int) positive(resources, inResources, "sockets"),
+            memoryMb),
         operator);
   }
 
--- a/src/main/java/eiderfork/core/Cloud.java
+++ b/src/main/java/eiderfork/core/Cloud.java
@@ -29,6 +29,9 @@
   /** Prices move slowly; they are read again after this many lags of the list. */
   private static final int TYPES_LAGS = 8;
 
+  /** A list that is not whole after this many of its lags is begun anew. */
+  private static final int LISTING_LAGS = 4;
+
   /** A kind of machine that may be out of stock. */
   record Kind(String type, String zone, boolean spot) {}
 
@@ -43,10 +46,27 @@
   private boolean typesAsking;
   private boolean typesStored;
   private long listNextMs;
-  private boolean listing;
+
+  /** The list that is being read; null between lists. */
+  private Listing listing;
+
+  /** A page of the list was asked for and not answered. */
+  private boolean pageAsked;
+
   private final Backoff listBackoff;
   private final Backoff typesBackoff;
 
+  /** What was read of a list: it comes page by page, each a call within the cloud's rate. */
+  private static final class Listing {
+    final long startedMs;
+    final Map<String, HostEntry> entries = new LinkedHashMap<>();
+    String last = "";
+
+    Listing(long startedMs) {
+      this.startedMs = startedMs;
+    }
+  }
+
   /** Whether a whole list has been taken in this term. */
   private boolean listed;
 
@@ -67,7 +87,8 @@
   void clear() {
     rents.clear();
     returns.clear();
-    listing = false;
+    listing = null;
+    pageAsked = false;
     listed = false;
     typesAsking = false;
     typesStored = false;
@@ -96,9 +117,8 @@
       askTypesIfDue();
     }
     rents.tick();
-    if (!listing && context.nowMs >= listNextMs && take()) {
-      listing = true;
-      list("", new LinkedHashMap<>(), context.nowMs);
+    if (!pageAsked && context.nowMs >= listNextMs && take()) {
+      askPage();
     }
     askTypesIfDue();
   }
@@ -148,34 +168,42 @@
         reply -> typesStored = reply instanceof Reply.Committed);
   }
 
-  private void list(String after, Map<String, HostEntry> entries, long startedMs) {
-    long number = term.number();
+  /** Asks for the next page; a list that takes too long is begun anew. */
+  private void askPage() {
+    if (listing == null || context.nowMs - listing.startedMs > LISTING_LAGS * context.listLagMs()) {
+      listing = new Listing(context.nowMs);
+    }
+    Listing of = listing;
+    pageAsked = true;
     context.ask(
-        call -> new Effect.AskHosts(call, after, timeoutMs(context)),
+        call -> new Effect.AskHosts(call, of.last, timeoutMs(context)),
         reply -> {
-          if (!term.leading() || term.number() != number) {
-            return;
+          if (listing == of) {
+            pageAsked = false;
+            pageAnswered(of, reply);
           }
-          if (!(reply instanceof Reply.Hosts hosts)) {
-            listing = false;
-            listNextMs = context.nowMs + listBackoff.next(context.random);
-            return;
-          }
-          String last = after;
-          for (HostEntry entry : hosts.entries()) {
-            entries.put(entry.machine().name(), entry);
-            last = entry.machine().name();
-          }
-          if (hosts.more() && !last.equals(after)) {
-            list(last, entries, startedMs);
-            return;
-          }
-          listing = false;
-          listBackoff.reset();
-          listNextMs = context.nowMs + context.listLagMs() / 2;
-          fleet.listing(entries, startedMs);
-          rents.forgetSettled();
-          listed = true;
         });
   }
+
+  private void pageAnswered(Listing of, Reply reply) {
+    if (!(reply instanceof Reply.Hosts hosts)) {
+      // What was read stays good: a list says less the longer it takes, and nothing wrong.
+      listNextMs = context.nowMs + listBackoff.next(context.random);
+      return;
+    }
+    String before = of.last;
+    for (HostEntry entry : hosts.entries()) {
+      of.entries.put(entry.machine().name(), entry);
+      of.last = entry.machine().name();
+    }
+    if (hosts.more() && !of.last.equals(before)) {
+      return;
+    }
+    listing = null;
+    listBackoff.reset();
+    listNextMs = context.nowMs + context.listLagMs() / 2;
+    fleet.listing(of.entries, of.startedMs);
+    rents.forgetSettled();
+    listed = true;
+  }
 }
--- a/src/main/java/eiderfork/core/CommittedState.java
+++ b/src/main/java/eiderfork/core/CommittedState.java
@@ -184,7 +184,7 @@
               readBarrier.start(changes.revision());
             }
             follow(prefix, number, changes.revision());
-          } else if (reply instanceof Reply.Refused refused && refused.status() == 410) {
+          } else if (mustReadAnew(reply)) {
             reader.scan(prefix, "", number, this::changed, seen -> follow(prefix, number, seen));
           } else {
             reader.later(() -> follow(prefix, number, revision));
@@ -192,6 +192,15 @@
         });
   }
 
+  /**
+   * Whether a watch can't be followed on: the service has forgotten the changes, or they are more
+   * than one response may hold. Asked for again, they would be so again.
+   */
+  static boolean mustReadAnew(Reply reply) {
+    return reply instanceof Reply.Oversized
+        || reply instanceof Reply.Refused refused && refused.status() == 410;
+  }
+
   /** A job that memory can't hold truly is frozen, and the rest goes on without it. */
   private void unreadable(String key, Record.Unreadable record) {
     LOG.error("{} can't be read and is left as it is: {}", key, record.why());
--- a/src/main/java/eiderfork/core/Drain.java
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -30,6 +30,9 @@
   /** A start that is undone before this time has passed does not count, by the protocol. */
   static final long SETTLED_MS = 30_000;
 
+  /** Past each of these machines one more may be emptied at the same time. */
+  private static final int MACHINES_PER_EMPTYING = 1000;
+
   /** How long an emptying may take before the machine is used again, in steps. */
   private static final int EMPTYING_STEPS = 10;
 
@@ -52,20 +55,45 @@
 
   /** Looks at what a plan has left over; nothing is emptied while the fleet is {@code growing}. */
   void plan(Packing packing, boolean growing) {
-    boolean busy = false;
+    int emptying = 0;
     for (MachineEntry m : fleet.machines()) {
       if (m.draining && context.nowMs - m.drainingSinceMs > EMPTYING_STEPS * context.stepMs()) {
         // Something holds on to it; it is used again.
         m.draining = m.returning;
       }
-      busy |= m.draining && !m.returning;
+      emptying += m.draining && !m.returning ? 1 : 0;
     }
     if (growing) {
       fleet.machines().forEach(m -> m.spareSinceMs = 0);
     }
-    if (busy || growing) {
+    int mayEmpty = atOnce() - emptying;
+    if (mayEmpty <= 0 || growing) {
       return;
     }
+    List<Bin> candidates = candidates(packing);
+    Set<MachineEntry> spare = spare(candidates, packing);
+    for (MachineEntry m : fleet.machines()) {
+      if (!spare.contains(m)) {
+        m.spareSinceMs = 0;
+      } else if (m.spareSinceMs == 0) {
+        m.spareSinceMs = context.nowMs;
+      }
+    }
+    for (Bin bin : candidates) {
+      if (mayEmpty > 0 && isSpareForLong(bin.machine)) {
+        empty(bin.machine);
+        mayEmpty--;
+      }
+    }
+  }
+
+  /** One at a time takes hours after a rush in a fleet of thousands. */
+  private int atOnce() {
+    return 1 + fleet.machines().size() / MACHINES_PER_EMPTYING;
+  }
+
+  /** The machines that may be emptied, those first that save most. */
+  private List<Bin> candidates(Packing packing) {
     List<Bin> candidates = new ArrayList<>();
     for (Bin bin : packing.known()) {
       if (mayEmpty(bin)) {
@@ -73,27 +101,31 @@
       }
     }
     candidates.sort(Comparator.comparingDouble(bin -> -saving(bin)));
+    return candidates;
+  }
+
+  /** Those of which all tasks fit elsewhere, beside the tasks of the ones before. */
+  private Set<MachineEntry> spare(List<Bin> candidates, Packing packing) {
     Set<MachineEntry> spare = new HashSet<>();
+    Map<Bin, Resources> taken = new Reference2ObjectOpenHashMap<>();
+    boolean several = atOnce() > 1;
     for (Bin bin : tries(candidates)) {
-      if (fitsElsewhere(bin, packing)) {
+      Map<Bin, Resources> left = new Reference2ObjectOpenHashMap<>(taken);
+      // What is to be emptied itself takes no tasks of another, nor the other way round.
+      boolean isTarget = several && taken.containsKey(bin);
+      if (!isTarget && fitsElsewhere(bin, packing, left, several ? spare : Set.of())) {
         spare.add(bin.machine);
+        if (several) {
+          taken = left;
+        }
       }
     }
-    for (MachineEntry m : fleet.machines()) {
-      if (!spare.contains(m)) {
-        m.spareSinceMs = 0;
-      } else if (m.spareSinceMs == 0) {
-        m.spareSinceMs = context.nowMs;
-      }
-    }
-    for (Bin bin : candidates) {
-      MachineEntry m = bin.machine;
-      double keepMs = fleet.type(m).bootS() * 1000 * context.settings.operator().idleShare();
-      if (m.spareSinceMs > 0 && context.nowMs - m.spareSinceMs >= keepMs) {
-        empty(m);
-        return;
-      }
-    }
+    return spare;
+  }
+
+  private boolean isSpareForLong(MachineEntry m) {
+    double keepMs = fleet.type(m).bootS() * 1000 * context.settings.operator().idleShare();
+    return m.spareSinceMs > 0 && context.nowMs - m.spareSinceMs >= keepMs;
   }
 
   /**
@@ -104,10 +136,10 @@
     List<Bin> tries = new ArrayList<>();
     List<Bin> others = new ArrayList<>();
     for (Bin bin : candidates) {
-      boolean surely = tries.size() < TRIES || bin.machine.spareSinceMs > 0;
+      boolean surely = tries.size() < TRIES * atOnce() || bin.machine.spareSinceMs > 0;
       (surely ? tries : others).add(bin);
     }
-    for (int i = 0; i < TRIES && i < others.size(); i++) {
+    for (int i = 0; i < TRIES * atOnce() && i < others.size(); i++) {
       Collections.swap(others, i, i + context.random.nextInt(others.size() - i));
       tries.add(others.get(i));
     }
@@ -151,10 +183,10 @@
    * GPUs as stand here are given back for it. Without that, replicas that must be spread held 46
    * machines of eight GPUs each, half of them free, for the processors of 30.
    */
-  private boolean fitsElsewhere(Bin from, Packing packing) {
-    Map<Bin, Resources> left = new Reference2ObjectOpenHashMap<>();
+  private boolean fitsElsewhere(
+      Bin from, Packing packing, Map<Bin, Resources> left, Set<MachineEntry> emptied) {
     for (Reservation p : from.machine.placed) {
-      Bin best = fullestTarget(p.job.job, from, packing, left);
+      Bin best = fullestTarget(p.job.job, from, packing, left, emptied);
       if (best == null) {
         return false;
       }
@@ -164,7 +196,8 @@
   }
 
   /** The machine for a moved task that has the least left beside it, or null. */
-  private Bin fullestTarget(Job job, Bin from, Packing packing, Map<Bin, Resources> left) {
+  private Bin fullestTarget(
+      Job job, Bin from, Packing packing, Map<Bin, Resources> left, Set<MachineEntry> emptied) {
     Bin[] best = new Bin[1];
     double[] bestLeft = new double[1];
     packing.forEachWithRoom(
@@ -172,6 +205,8 @@
         bin -> {
           Resources room = left.getOrDefault(bin, bin.left);
           if (bin == from
+              || bin.machine == null
+              || emptied.contains(bin.machine)
               || !job.need().fitsIn(room)
               || !accepts(job, from, bin)
               || from.room.gpus() <= 0 && placer.gpuBalance().strandedBy(job.need(), room) > 0) {
--- a/src/main/java/eiderfork/core/Fleet.java
+++ b/src/main/java/eiderfork/core/Fleet.java
@@ -11,11 +11,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -37,8 +35,17 @@
   private final ReferenceLinkedOpenHashSet<MachineEntry> answered =
       new ReferenceLinkedOpenHashSet<>();
 
-  /** Machines that surely are gone; their late reports and list entries mean nothing. */
-  private final Set<String> gone = new HashSet<>();
+  /**
+   * After this many leases nothing that was sent before a machine went can come any more: messages
+   * are late by minutes at most.
+   */
+  private static final int GONE_LEASES = 60;
+
+  /**
+   * Machines that surely are gone, the first one in front, and since when; their late reports and
+   * list entries mean nothing.
+   */
+  private final Map<String, Long> gone = new LinkedHashMap<>();
 
   private ImmutableMap<String, MachineType> types = ImmutableMap.of();
 
@@ -95,7 +102,7 @@
   }
 
   boolean isGone(String name) {
-    return gone.contains(name);
+    return gone.containsKey(name);
   }
 
   ImmutableMap<String, MachineType> types() {
@@ -156,7 +163,13 @@
     sets.removed(m);
     unanswered.remove(m);
     answered.remove(m);
-    gone.add(m.name);
+    gone.put(m.name, context.nowMs);
+  }
+
+  /** Names would gather for as long as a leader leads. */
+  private void forgetLongGone() {
+    long keptMs = GONE_LEASES * context.leaseMs();
+    gone.values().removeIf(since -> context.nowMs - since > keptMs);
   }
 
   /** None of the tasks reserved on this machine is there any more, nor can they start. */
@@ -172,10 +185,11 @@
    * lag, so a machine missing from it is gone only if it was alive before that time.
    */
   void listing(Map<String, HostEntry> entries, long askedMs) {
+    forgetLongGone();
     long describesMs = askedMs - 2 * context.listLagMs();
     for (HostEntry entry : entries.values()) {
       String name = entry.machine().name();
-      if (gone.contains(name)) {
+      if (isGone(name)) {
         continue;
       }
       MachineEntry m = known(entry.machine());
--- a/src/main/java/eiderfork/core/LeaseProxy.java
+++ b/src/main/java/eiderfork/core/LeaseProxy.java
@@ -319,7 +319,7 @@
             changes.items().forEach(this::cancelled);
             cancellations.caughtUp(askedMs);
             followCancellations(of, changes.revision());
-          } else if (reply instanceof Reply.Refused refused && refused.status() == 410) {
+          } else if (CommittedState.mustReadAnew(reply)) {
             readCancellations(of, "", context.nowMs, -1);
           } else {
             later(of, () -> followCancellations(of, revision));
--- a/src/main/java/eiderfork/core/MachineEntry.java
+++ b/src/main/java/eiderfork/core/MachineEntry.java
@@ -227,7 +227,9 @@
     double sum = images.values().stream().mapToDouble(Double::doubleValue).sum();
     var oldest = images.entrySet().iterator();
     while (sum > cacheGb && images.size() > 1) {
-      sum -= oldest.next().getValue();
+      Map.Entry<String, Double> evicted = oldest.next();
+      sum -= evicted.getValue();
+      fetchedAtMs.removeLong(evicted.getKey());
       oldest.remove();
     }
   }
--- a/src/main/java/eiderfork/core/MachineRents.java
+++ b/src/main/java/eiderfork/core/MachineRents.java
@@ -46,6 +46,10 @@
   private final Map<String, Rent> rents = new LinkedHashMap<>();
   private final Map<Cloud.Kind, Long> emptyUntilMs = new HashMap<>();
   private final Map<Cloud.Kind, Backoff> emptyBackoff = new HashMap<>();
+
+  /** How many rents of a kind may be open at once, where the cloud has filled the ones before. */
+  private final Map<Cloud.Kind, Integer> atOnce = new HashMap<>();
+
   private int names;
 
   /**
@@ -69,6 +73,7 @@
     rents.clear();
     emptyUntilMs.clear();
     emptyBackoff.clear();
+    atOnce.clear();
     names = 0;
   }
 
@@ -165,6 +170,7 @@
               shortOf(kind);
             } else {
               emptyBackoff.remove(kind);
+              atOnce.merge(kind, 1, Integer::sum);
             }
           } else if (reply instanceof Reply.NoCapacity) {
             // No capacity, and nothing was rented: the reservation is over.
@@ -182,7 +188,18 @@
         });
   }
 
+  /**
+   * How many rents of this kind may be asked for together: one at first and one more for each that
+   * was filled, since calls for what the cloud may not have take the turns of others; no more than
+   * the rate lets through in a step.
+   */
+  int mostAtOnce(Cloud.Kind kind) {
+    int most = (int) Math.max(1, context.settings.cloudLimits().rps() * context.stepS());
+    return Math.min(most, 1 + atOnce.getOrDefault(kind, 0));
+  }
+
   private void shortOf(Cloud.Kind kind) {
+    atOnce.remove(kind);
     Backoff backoff =
         emptyBackoff.computeIfAbsent(
             kind, k -> new Backoff(context.listLagMs() * 2, context.listLagMs() * 8));
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -296,7 +296,16 @@
     }
     Map<Cloud.Kind, Integer> counts = new LinkedHashMap<>();
     wanted.forEach(bin -> counts.merge(bin.kind, 1, Integer::sum));
-    counts.forEach((kind, count) -> cloud.rents().rent(kind, Math.min(count, RENT_MOST)));
+    counts.forEach(this::rent);
+  }
+
+  /** Rents of one kind for so many machines, as far as they may be asked for at once. */
+  private void rent(Cloud.Kind kind, int count) {
+    int left = count;
+    for (int i = 0; i < cloud.rents().mostAtOnce(kind) && left > 0; i++) {
+      cloud.rents().rent(kind, Math.min(left, RENT_MOST));
+      left -= RENT_MOST;
+    }
   }
 
   private void giveBack(List<Bin> bins) {
--- a/src/main/java/eiderfork/core/message/Reply.java
+++ b/src/main/java/eiderfork/core/message/Reply.java
@@ -11,6 +11,9 @@
   /** No reply: the request may have been carried out, or may be yet. */
   record Unanswered() implements Reply {}
 
+  /** The response is larger than this node takes, and would be so again. */
+  record Oversized() implements Reply {}
+
   /** The other side refused; nothing was done. */
   record Refused(int status) implements Reply {
     /** The request itself is at fault, or larger than the other side takes; repeats are as well. */
--- a/src/main/java/eiderfork/net/HttpClient.java
+++ b/src/main/java/eiderfork/net/HttpClient.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -33,16 +34,25 @@
 
 /** Sends HTTP requests, on kept connections where there are any. All on one event loop. */
 public final class HttpClient {
-  /** The largest response taken; a page of the state service holds half a mebibyte of values. */
-  private static final int MOST_BODY = 8 * 1024 * 1024;
+  /**
+   * The largest response taken. A page of the state service holds half a mebibyte of values; only a
+   * watch that lags far behind is answered with more, see {@link #OVERSIZED}.
+   */
+  static final int MOST_BODY = 8 * 1024 * 1024;
+
+  /** The status that stands for a response that is larger than that. */
+  public static final int OVERSIZED = -1;
 
-  /** Connections kept open to one address while they are not in use. */
-  private static final int KEPT = 4;
+  /** The part of all kept connections that may be open to one address. */
+  private static final int KEPT_PART = 8;
+
+  /** Connections that may be kept open to one address however few are kept in all. */
+  private static final int LEAST_KEPT = 4;
 
   /** Unused connections are closed after this long. */
   private static final long KEPT_MS = 20_000;
 
-  /** Takes a response; status 0 is none in time or at all. */
+  /** Takes a response; status 0 is none in time or at all, {@link #OVERSIZED} one too large. */
   public interface Taker {
     /** Takes the response. */
     void take(int status, byte[] body);
@@ -58,6 +68,7 @@
   private final Set<Kept> oldest = new LinkedHashSet<>();
 
   private final int mostKept;
+  private final int mostKeptToOne;
 
   /**
    * Makes a client that keeps up to {@code mostKept} connections open while they are not in use.
@@ -72,6 +83,7 @@
   public HttpClient(EventLoop loop, int mostKept, Consumer<Channel> opened) {
     this.loop = loop;
     this.mostKept = mostKept;
+    mostKeptToOne = Math.max(LEAST_KEPT, mostKept / KEPT_PART);
     bootstrap =
         new Bootstrap()
             .group(loop)
@@ -129,7 +141,7 @@
 
   private void keep(Endpoint to, Channel channel) {
     Deque<Kept> open = kept.computeIfAbsent(to, e -> new ArrayDeque<>());
-    if (open.size() >= KEPT) {
+    if (open.size() >= mostKeptToOne) {
       channel.close();
       return;
     }
@@ -237,6 +249,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      if (call != null && cause instanceof TooLongHttpContentException) {
+        call.end(OVERSIZED, new byte[0]);
+      }
       context.close();
     }
   }
--- a/src/main/java/eiderfork/net/Node.java
+++ b/src/main/java/eiderfork/net/Node.java
@@ -63,6 +63,8 @@
     loop.scheduleWithFixedDelay(this::tick, 0, tickMs, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(
         client::sweep, 1, (long) settings.workers().leaseS(), TimeUnit.SECONDS);
+    HeapWatch heap = new HeapWatch(HeapWatch.OWN, settings.controller().memoryMb());
+    loop.scheduleWithFixedDelay(heap::check, 1, 1, TimeUnit.SECONDS);
     LOG.info("{} listens on {}", settings.node(), settings.listen());
   }
 
@@ -271,7 +273,7 @@
         (status, said) -> {
           Reply reply;
           try {
-            reply = status == 0 ? new Reply.Unanswered() : reader.read(status, said);
+            reply = read(status, said, reader);
           } catch (BadMessage e) {
             LOG.info("{} {} of {} said {}: {}", method, path, to, status, e.getMessage());
             reply = new Reply.Unanswered();
@@ -280,6 +282,14 @@
         });
   }
 
+  private static Reply read(int status, byte[] said, Reader reader) throws BadMessage {
+    return switch (status) {
+      case 0 -> new Reply.Unanswered();
+      case HttpClient.OVERSIZED -> new Reply.Oversized();
+      default -> reader.read(status, said);
+    };
+  }
+
   private static Reply workerSays(int status, byte[] body) throws BadMessage {
     if (status != 200 && status != 409) {
       return new Reply.Refused(status);
--- a/src/main/java/eiderfork/scale/ControllerSettings.java
+++ b/src/main/java/eiderfork/scale/ControllerSettings.java
@@ -8,9 +8,8 @@
 
 /** Writes the platform's settings file for the controllers of a cell. */
 final class ControllerSettings {
-  /** What the scale run allows a controller; nothing holds the process to the share of a core. */
-  private static final String RESOURCES =
-      "[deployment.resources]\ncpu_share = 1.0\nmemory_mb = 256.0\nsockets = 8000\n";
+  /** Sockets beside one for each worker. */
+  private static final int SPARE_SOCKETS = 6000;
 
   /** A controller with its zone and addresses. */
   record Member(String name, String zone, Endpoint publicAddress, Endpoint peerAddress) {}
@@ -62,7 +61,12 @@
     text.append("[deployment.cloud]\n");
     put(text, "rps", run.cloud().rps());
     put(text, "list_lag_s", run.cloud().listLagS());
-    return text.append(RESOURCES).toString();
+    text.append("[deployment.resources]\n");
+    // Nothing holds the process to its share of a core.
+    put(text, "cpu_share", 1.0);
+    put(text, "memory_mb", MachineLimits.controllerMb(run.cells().workers()));
+    text.append("sockets = ").append(run.cells().workers() + SPARE_SOCKETS).append('\n');
+    return text.toString();
   }
 
   private static void put(StringBuilder text, String name, double value) {
--- a/src/main/java/eiderfork/scale/MachineLimits.java
+++ b/src/main/java/eiderfork/scale/MachineLimits.java
@@ -6,20 +6,26 @@
 
 /** Refuses runs that would take more of this machine than they may. */
 final class MachineLimits {
-  /** What a controller's process may come to with the heap of the deploy file, in megabytes. */
-  private static final int CONTROLLER_MB = 192;
+  /** What a controller's process may come to in a small cell, and for each worker, in megabytes. */
+  private static final double SMALL_CONTROLLER_MB = 176;
+
+  private static final double WORKER_MB = 0.06;
 
   private static final int MOST_PROCESSES = 300;
   private static final double MOST_MEMORY_SHARE = 0.5;
 
   private MachineLimits() {}
 
-  /** Why the run may not start on a machine with that much memory; null where it may. */
-  static String objection(int controllers, double ownMb, double machineMb) {
+  /**
+   * Why the run may not start on a machine with that much memory; null where it may.
+   *
+   * @param workers of each cell
+   */
+  static String objection(int controllers, int workers, double ownMb, double machineMb) {
     if (controllers + 1 > MOST_PROCESSES) {
       return controllers + " controllers are more processes than " + MOST_PROCESSES;
     }
-    double needMb = ownMb + controllers * (double) CONTROLLER_MB;
+    double needMb = ownMb + controllers * controllerMb(workers);
     if (needMb > machineMb * MOST_MEMORY_SHARE) {
       return String.format(
           "%d controllers and the emulation may take %.0f MB, more than half of this machine's %.0f",
@@ -28,6 +34,11 @@
     return null;
   }
 
+  /** What a controller of a cell with so many workers is given, in megabytes. */
+  static double controllerMb(int workers) {
+    return SMALL_CONTROLLER_MB + WORKER_MB * workers;
+  }
+
   /** The machine's memory in megabytes. */
   static double machineMb() throws IOException {
     String first = Files.readAllLines(Path.of("/proc/meminfo")).get(0);
--- a/src/main/java/eiderfork/scale/ScaleRun.java
+++ b/src/main/java/eiderfork/scale/ScaleRun.java
@@ -71,7 +71,11 @@
     ScaleSettings settings = ScaleFile.read(path);
     double ownMb = Runtime.getRuntime().maxMemory() / 1024.0 / 1024.0;
     String objection =
-        MachineLimits.objection(settings.controllerCount(), ownMb, MachineLimits.machineMb());
+        MachineLimits.objection(
+            settings.controllerCount(),
+            settings.cells().workers(),
+            ownMb,
+            MachineLimits.machineMb());
     if (objection != null) {
       throw new BadSettings(path.toString(), "cells", objection);
     }
--- /dev/null
+++ b/src/test/java/eiderfork/core/LargeCellTest.java
@@ -0,0 +1,197 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.config.Settings;
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Reply;
+import eiderfork.model.HostEntry;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Machine;
+import eiderfork.model.MachineType;
+import eiderfork.model.Priority;
+import eiderfork.model.Resources;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What once was bound to a fixed number, at six thousand machines. */
+class LargeCellTest {
+  private static final int MACHINES = 6000;
+  private static final int PAGE = 500;
+  private static final ImmutableList<String> ZONES = ImmutableList.of("a", "b", "c");
+  private static final MachineType TYPE =
+      new MachineType("c8", new Resources(8, 0, 64), 50, 2, 1, 0.4, 3, ZONES);
+
+  private final Context context = new Context(Samples.slow(), new Random(1), 1_000_000);
+  private final StateGate gate = new StateGate(context);
+  private final Term term = new Term(context, gate, new NoListener());
+  private final JobTable jobs = new JobTable(context, gate, term, null);
+  private final Fleet fleet = new Fleet(context, jobs);
+  private final Cloud cloud = new Cloud(context, term, gate, fleet);
+
+  private static final class NoListener implements Term.Listener {
+    @Override
+    public void elected() {}
+
+    @Override
+    public void deposed() {}
+  }
+
+  @BeforeEach
+  void lead() {
+    term.tick();
+    answerState(new Reply.Value(null, 0));
+    answerState(new Reply.Value(null, 0));
+    answerState(new Reply.Leased(7));
+    answerState(new Reply.Committed(1));
+    context.takeEffects();
+    assertTrue(term.sure());
+    fleet.types(ImmutableList.of(TYPE));
+  }
+
+  private <T extends Effect> List<T> effects(Class<T> kind) {
+    List<T> found = new ArrayList<>();
+    context.takeEffects().stream().filter(kind::isInstance).map(kind::cast).forEach(found::add);
+    return found;
+  }
+
+  private void answerState(Reply reply) {
+    for (Effect.AskState asked : effects(Effect.AskState.class)) {
+      context.answered(asked.call(), reply);
+    }
+  }
+
+  private static String name(int number) {
+    return "n-%06d".formatted(number);
+  }
+
+  /** The page of the list that begins after a machine. */
+  private static Reply page(String after) {
+    int first = after.isEmpty() ? 1 : Integer.parseInt(after.substring(2)) + 1;
+    ImmutableList.Builder<HostEntry> entries = ImmutableList.builder();
+    for (int i = first; i < first + PAGE && i <= MACHINES; i++) {
+      Machine machine = new Machine(name(i), name(i) + ":1", "c8", ZONES.get(i % 3), false);
+      entries.add(new HostEntry(machine, HostEntry.State.RUNNING, 100));
+    }
+    return new Reply.Hosts(entries.build(), first + PAGE <= MACHINES);
+  }
+
+  /** Twelve pages at once were past the cloud's rate, and a list that failed began anew. */
+  @Test
+  void aWholeListIsReadWithinTheRateOfCalls() {
+    double rps = context.settings.cloudLimits().rps();
+    long beganMs = context.nowMs;
+    int calls = 0;
+    boolean refusedOne = false;
+    while (!cloud.listed()) {
+      context.nowMs += 50;
+      cloud.tick();
+      for (Effect effect : context.takeEffects()) {
+        if (effect instanceof Effect.AskHosts it) {
+          calls++;
+          // The cloud may count others' calls, too.
+          boolean refuses = calls == 7 && !refusedOne;
+          refusedOne |= refuses;
+          context.answered(it.call(), refuses ? new Reply.Refused(429) : page(it.after()));
+        } else if (effect instanceof Effect.AskTypes it) {
+          calls++;
+          context.answered(it.call(), new Reply.Types(ImmutableList.of(TYPE)));
+        }
+      }
+      double seconds = (context.nowMs - beganMs) / 1000.0;
+      assertTrue(calls <= 2 * rps + rps * seconds, calls + " calls in " + seconds + " s");
+      assertTrue(seconds < 30, "no list in its time");
+    }
+    assertEquals(MACHINES, fleet.machines().size());
+    assertEquals(MACHINES / PAGE + 2, calls, "the refused page alone was asked for again");
+  }
+
+  /** The names of machines that are gone once gathered for as long as a leader led. */
+  @Test
+  void machinesThatAreLongGoneAreForgotten() {
+    for (int i = 0; i < MACHINES; i++) {
+      fleet.remove(fleet.known(name(i)), "it died");
+    }
+    fleet.listing(java.util.Map.of(), context.nowMs);
+    assertTrue(fleet.isGone(name(1)));
+    context.nowMs += 60 * context.leaseMs() + 1;
+    fleet.listing(java.util.Map.of(), context.nowMs);
+    assertFalse(fleet.isGone(name(1)));
+  }
+
+  /** One rent of fifty for a kind and plan took two minutes for six thousand machines. */
+  @Test
+  void rentsOfAKindThatIsFilledAreAskedForTogether() {
+    MachineRents rents = cloud.rents();
+    Cloud.Kind kind = new Cloud.Kind("c8", "a", false);
+    assertEquals(1, rents.mostAtOnce(kind), "what the cloud has is not known");
+    int last = 0;
+    for (int i = 0; i < 4; i++) {
+      rents.rent(kind, 50);
+      context.nowMs += 1000;
+      gate.pump();
+      answerState(new Reply.Committed(10 + i));
+      rents.tick();
+      List<Effect.AskRent> asked = effects(Effect.AskRent.class);
+      assertEquals(1, asked.size());
+      ImmutableList.Builder<String> names = ImmutableList.builder();
+      for (int j = 0; j < 50; j++) {
+        names.add(name(++last));
+      }
+      context.answered(asked.get(0).call(), new Reply.Rented(names.build()));
+    }
+    assertEquals(
+        (int) context.settings.cloudLimits().rps(), rents.mostAtOnce(kind), "the rate bounds it");
+    rents.rent(kind, 50);
+    context.nowMs += 1000;
+    gate.pump();
+    answerState(new Reply.Committed(20));
+    rents.tick();
+    context.answered(effects(Effect.AskRent.class).get(0).call(), new Reply.NoCapacity());
+    assertEquals(1, rents.mostAtOnce(kind), "it has no more");
+  }
+
+  /**
+   * Six thousand machines, full but for a tenth: what a round and a plan look at depends on what
+   * waits and on where there is room, and a tick at which nothing changes looks at nothing.
+   */
+  @Test
+  void aRoundLooksAtNoFullMachine() {
+    World world = worldOfManyMachines();
+    int services = MACHINES / 8;
+    for (int i = 0; i < services; i++) {
+      world.submit(Samples.job(i, JobKind.SERVICE, 58, 0, "blue", Priority.HIGH, false, false));
+    }
+    world.run(100);
+    assertEquals(58L * services, world.checker.runningTasks());
+    Controller leader = world.nodes.get(world.leader());
+    Job late = Samples.job(9999, JobKind.SERVICE, 4, 0, "blue", Priority.HIGH, false, false);
+    world.submit(late);
+    int most = 0;
+    for (int i = 0; i < 60; i++) {
+      world.run(0.05);
+      most = Math.max(most, leader.placementExamined());
+    }
+    assertEquals(4, world.checker.running(late.uid()));
+    assertTrue(most < MACHINES / 4, most + " looks at machines for four tasks");
+    assertEquals(List.of(), world.checker.breaches);
+  }
+
+  private static World worldOfManyMachines() {
+    Settings.StateLimits limits = new Settings.StateLimits(4000, 400, 8, 16);
+    Settings settings = Samples.settings("roost-0", Samples.SLOW, limits, 1, 8000, 3);
+    World world = new World(3, settings);
+    world.cloud.types = ImmutableList.of(TYPE);
+    world.cloud.capacity = MACHINES / 3;
+    world.cloud.bootMs = 2000;
+    world.run(3);
+    return world;
+  }
+}
--- a/src/test/java/eiderfork/core/Samples.java
+++ b/src/test/java/eiderfork/core/Samples.java
@@ -66,7 +66,7 @@
         stateLimits,
         stateLimits,
         new Settings.CloudLimits(2, 4),
-        new Settings.Controller(cpuShare, sockets),
+        new Settings.Controller(cpuShare, sockets, 148),
         OperatorSettings.DEFAULTS);
   }
 
--- a/src/test/java/eiderfork/scale/ScaleFileTest.java
+++ b/src/test/java/eiderfork/scale/ScaleFileTest.java
@@ -52,8 +52,8 @@
 
   @Test
   void runsThatTakeTooMuchOfTheMachineAreRefused() {
-    assertNull(MachineLimits.objection(20, 6000, 24_000));
-    assertNotNull(MachineLimits.objection(32, 6000, 24_000));
-    assertNotNull(MachineLimits.objection(300, 100, 1_000_000));
+    assertNull(MachineLimits.objection(20, 1100, 6000, 24_000));
+    assertNotNull(MachineLimits.objection(32, 1100, 6000, 24_000));
+    assertNotNull(MachineLimits.objection(300, 1, 100, 1_000_000));
   }
 }
