--- a/src/main/java/eiderfork/net/Node.java
+++ b/src/main/java/eiderfork/net/Node.java
@@ -27,7 +27,10 @@
 public final class Node implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Node.class);
 
-  private static final byte[] NOTHING = new byte[0];
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  /** How often it is told what the event loop's time goes into. */
+  private static final long TELL_S = 60;
 
   private final Settings settings;
   private final MultiThreadIoEventLoopGroup group =
@@ -35,6 +38,7 @@
   private final EventLoop loop = group.next();
   private final HttpClient client;
   private final Controller controller;
+  private final InputMeter meter = new InputMeter();
   private final Long2ObjectOpenHashMap<HttpServer.Exchange> open = new Long2ObjectOpenHashMap<>();
   private long tickets;
 
@@ -50,7 +54,7 @@
   }
 
   private static long nowMs() {
-    return System.nanoTime() / 1_000_000;
+    return System.nanoTime() / NANOS_PER_MS;
   }
 
   /** Opens the listening ports and starts the controller. */
@@ -65,6 +69,11 @@
         client::sweep, 1, (long) settings.workers().leaseS(), TimeUnit.SECONDS);
     HeapWatch heap = new HeapWatch(HeapWatch.OWN, settings.controller().memoryMb());
     loop.scheduleWithFixedDelay(heap::check, 1, 1, TimeUnit.SECONDS);
+    loop.scheduleWithFixedDelay(
+        () -> LOG.info("work of the last minute: {}", meter.tell()),
+        TELL_S,
+        TELL_S,
+        TimeUnit.SECONDS);
     LOG.info("{} listens on {}", settings.node(), settings.listen());
   }
 
@@ -83,10 +92,12 @@
   }
 
   private void take(Input input) {
+    long beganNs = System.nanoTime();
     try {
-      for (Effect effect : controller.take(nowMs(), input)) {
+      for (Effect effect : controller.take(beganNs / NANOS_PER_MS, input)) {
         carryOut(effect);
       }
+      meter.took(input, System.nanoTime() - beganNs);
     } catch (RuntimeException e) {
       // The state in memory can't be trusted any more; a fresh process rebuilds it.
       LOG.error("the core failed on {}", input, e);
@@ -158,6 +169,7 @@
   }
 
   private void peerRequest(HttpServer.Exchange exchange) {
+    meter.peerAsked(exchange.body.length);
     try {
       if (exchange.path.equals(PeerWire.PING)) {
         var view = PeerWire.view(exchange.body);
@@ -235,13 +247,13 @@
       UserAnswer answer = it.answer();
       HttpServer.Exchange peer = passedOn.remove(it.ticket());
       if (peer != null) {
-        peer.answer(200, PeerWire.answer(answer), 0);
+        answerPeer(peer, PeerWire.answer(answer));
       } else {
         HttpServer.Exchange user = open.remove(it.ticket());
         user.answer(answer.status(), UserWire.body(answer), answer.retryAfterS());
       }
     } else if (effect instanceof Effect.AnswerPeerQueries it) {
-      open.remove(it.ticket()).answer(200, PeerWire.answers(it.answers()), 0);
+      answerPeer(open.remove(it.ticket()), PeerWire.answers(it.answers()));
     } else if (effect instanceof Effect.AnswerHealth it) {
       byte[] body = UserWire.health(it.healthy(), it.why());
       open.remove(it.ticket()).answer(it.healthy() ? 200 : 503, body, 0);
@@ -250,10 +262,15 @@
     } else if (effect instanceof Effect.RedirectWorker it) {
       open.remove(it.ticket()).answer(421, WorkerWire.redirect(it.leader()), 0);
     } else if (effect instanceof Effect.AnswerPing it) {
-      open.remove(it.ticket()).answer(200, PeerWire.view(it.view()), 0);
+      answerPeer(open.remove(it.ticket()), PeerWire.view(it.view()));
     }
   }
 
+  private void answerPeer(HttpServer.Exchange peer, byte[] body) {
+    meter.peerAnswered(body.length);
+    peer.answer(200, body, 0);
+  }
+
   private interface Reader {
     Reply read(int status, byte[] body) throws BadMessage;
   }
--- /dev/null
+++ b/src/test/java/eiderfork/net/InputMeterTest.java
@@ -0,0 +1,24 @@
+package eiderfork.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import eiderfork.core.message.Input;
+import org.junit.jupiter.api.Test;
+
+/** What is told of the event loop's work. */
+class InputMeterTest {
+  @Test
+  void eachKindIsToldOnceWithItsMeanAndItsMost() {
+    InputMeter meter = new InputMeter();
+    meter.took(new Input.Tick(), 1_000_000);
+    meter.took(new Input.Tick(), 5_000_000);
+    meter.took(new Input.Query(1, "run-1"), 500_000);
+    meter.peerAsked(2048);
+    meter.peerAnswered(512);
+    assertEquals(
+        "Query 1 (mean 0.50, most 1 ms), Tick 2 (mean 3.00, most 5 ms), "
+            + "peers' requests 1 (2.0 KB in, 0.5 KB out)",
+        meter.tell());
+    assertEquals("peers' requests 0 (0.0 KB in, 0.0 KB out)", meter.tell());
+  }
+}
