--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -8,12 +8,7 @@
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.UserAnswer;
 import eiderfork.model.Report;
-import java.util.ArrayDeque;
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
-import java.util.Queue;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -28,9 +23,6 @@
   /** Ticks in a step: the finest grain of anything timed. */
   private static final int TICKS_PER_STEP = 20;
 
-  /** How long a new leader waits for the first report of any machine, in steps. */
-  private static final int FIRST_REPORTS_STEPS = 4;
-
   private final Context context;
   private final StateGate gate;
   private final Term term;
@@ -54,18 +46,11 @@
 
   private boolean rebuilt;
   private boolean roundWanted;
-  private long electedMs;
   private long nextRoundMs;
   private long nextPlanMs;
 
-  /** When each machine last reported here, whether this node leads or not. */
-  private final Map<String, Long> heardMs = new HashMap<>();
-
-  private long heardCountedMs;
-
-  private long deafCheckMs;
-
-  private final Queue<Parked> parked = new ArrayDeque<>();
+  private final ParkedReports parked;
+  private final Hearing hearing;
 
   /**
    * Makes a controller that follows until it is elected.
@@ -80,6 +65,7 @@
   /** Makes a controller that tells its peers, and holds itself to, this version. */
   Controller(Settings settings, RandomGenerator random, long nowMs, int ownVersion) {
     context = new Context(settings, random, nowMs);
+    parked = new ParkedReports(context);
     gate = new StateGate(context);
     term = new Term(context, gate, this);
     version = new ClusterVersion(context, gate, term, ownVersion);
@@ -89,6 +75,7 @@
     peers = new Peers(context, term, cancellations, version);
     leaseProxy = new LeaseProxy(context, gate, term, peers, cancellations);
     liveness = new MachineLiveness(context, term);
+    hearing = new Hearing(context, term, fleet, liveness, peers, leaseProxy);
     reader = new StateReader(gate, term);
     LeaseLapses lapses =
         new LeaseLapses(context, fleet, peers, liveness, reader::readProxied, this::kick);
@@ -158,7 +145,7 @@
       health(it.ticket());
     }
     if (mayEndParking(input)) {
-      unpark();
+      parked.retry(this::answerOrRedirect);
     }
     gate.pump();
     round();
@@ -211,16 +198,6 @@
     }
   }
 
-  /** How many machines report here, counted once in half a step. */
-  private int heard() {
-    if (context.nowMs - heardCountedMs >= context.stepMs() / 2) {
-      heardCountedMs = context.nowMs;
-      heardMs.values().removeIf(at -> context.nowMs - at > liveness.silentMs());
-    }
-    // Machines that have to be answered here don't need this node to lead.
-    return Math.max(0, heardMs.size() - leaseProxy.machineCount());
-  }
-
   /** What this node tells of itself to a peer. */
   private PeerView view(String peer) {
     return new PeerView(
@@ -228,7 +205,7 @@
         term.number(),
         term.leading(),
         gate.servedAgeMs(),
-        heard(),
+        hearing.count(),
         version.own(),
         cancellations.newsFor(peer));
   }
@@ -265,7 +242,7 @@
           roundWanted = true;
         }
       }
-      resignIfUnheard();
+      hearing.resignIfUnheard();
     }
   }
 
@@ -283,48 +260,49 @@
     }
   }
 
-  /** Workers that can't reach this leader, but can reach a peer, need that peer to lead. */
-  private void resignIfUnheard() {
-    if (context.nowMs < deafCheckMs) {
-      return;
-    }
-    deafCheckMs = context.nowMs + context.stepMs();
-    int known = 0;
-    int heard = 0;
-    int tasked = 0;
-    for (MachineEntry m : fleet.machines()) {
-      if (m.report != null && !m.returning) {
-        known++;
-        heard += liveness.heard(m) ? 1 : 0;
+  private void report(long ticket, Report report) {
+    hearing.heard(report.machine().name());
+    if (!answer(ticket, report)) {
+      if (leaseProxy.mayAnswer(report) || mayCome()) {
+        parked.add(ticket, report);
+      } else {
+        redirect(ticket, report);
       }
-      tasked += m.placed.isEmpty() ? 0 : 1;
-    }
-    if (known >= 2 && heard * 2 < known && peers.betterHeard(heard)) {
-      LOG.info("hears {} of {} machines, a peer hears more", heard, known);
-      term.resign(context.leaseMs());
-    } else if (known == 0 && tasked >= 2 && isLongElected() && peers.betterHeard(1)) {
-      // A leader that was cut from the workers when it was elected once held the lead for 32 s.
-      LOG.info("has heard none of {} machines with tasks, a peer hears some", tasked);
-      term.resign(context.leaseMs());
     }
   }
 
-  /** Whether workers that can reach this node have had the time to find it. */
-  private boolean isLongElected() {
-    return context.nowMs - electedMs > FIRST_REPORTS_STEPS * context.stepMs();
-  }
-
-  private void report(long ticket, Report report) {
-    heardMs.put(report.machine().name(), context.nowMs);
+  /** Answers a worker where this node may, as the leader or in its place; whether it did. */
+  private boolean answer(long ticket, Report report) {
     if (term.leading() && cancellations.mayRenew()) {
       workers.report(ticket, report);
-    } else if (leaseProxy.mayAnswer(report) && leaseProxy.ready(report)) {
+      return true;
+    }
+    if (leaseProxy.mayAnswer(report) && leaseProxy.ready(report)) {
       leaseProxy.answer(ticket, report);
-    } else if (leaseProxy.mayAnswer(report) || mayCome()) {
-      parked.add(new Parked(ticket, report, context.nowMs));
-    } else {
-      redirect(ticket, report);
+      return true;
     }
+    return false;
+  }
+
+  /**
+   * Takes a parked report once more: after a step, or after two where this node leads and catches
+   * up, or is to answer in the leader's place, its worker is turned away. A worker turned away
+   * without a name tries the next node a second later, and after a crash of all nodes its lease has
+   * less than that left.
+   *
+   * @return whether the report need not wait any more
+   */
+  private boolean answerOrRedirect(ParkedReports.Parked it) {
+    boolean mayAnswer = leaseProxy.mayAnswer(it.report());
+    long graceMs = context.stepMs() * (mayAnswer || term.leading() ? 2 : 1);
+    if (answer(it.ticket(), it.report())) {
+      return true;
+    }
+    if ((mayAnswer || mayCome()) && context.nowMs - it.sinceMs() < graceMs) {
+      return false;
+    }
+    redirect(it.ticket(), it.report());
+    return true;
   }
 
   /**
@@ -349,33 +327,6 @@
         || input instanceof Input.PeerPing;
   }
 
-  /** A report that can't be answered yet. */
-  private record Parked(long ticket, Report report, long sinceMs) {}
-
-  /**
-   * Answers the parked reports once a leader is known, or after a step; after two where this node
-   * leads and catches up, or is to answer in the leader's place. A worker turned away without a
-   * name tries the next node a second later, and after a crash of all nodes its lease has less than
-   * that left.
-   */
-  private void unpark() {
-    for (Iterator<Parked> all = parked.iterator(); all.hasNext(); ) {
-      Parked it = all.next();
-      boolean mayAnswer = leaseProxy.mayAnswer(it.report);
-      long graceMs = context.stepMs() * (mayAnswer || term.leading() ? 2 : 1);
-      if (term.leading() && cancellations.mayRenew()) {
-        workers.report(it.ticket, it.report);
-      } else if (mayAnswer && leaseProxy.ready(it.report)) {
-        leaseProxy.answer(it.ticket, it.report);
-      } else if ((mayAnswer || mayCome()) && context.nowMs - it.sinceMs < graceMs) {
-        continue;
-      } else {
-        redirect(it.ticket, it.report);
-      }
-      all.remove();
-    }
-  }
-
   /** A job turns out to be cancelled; nothing of it may go on, whoever knows what of it. */
   private void cancelled(String uid) {
     if (term.leading()) {
@@ -389,7 +340,7 @@
   @Override
   public void elected() {
     leaseProxy.stop();
-    electedMs = context.nowMs;
+    hearing.elected();
     forget();
     workers.elected();
     committed.rebuild();
--- /dev/null
+++ b/src/test/java/eiderfork/core/FakeNetwork.java
@@ -0,0 +1,218 @@
+package eiderfork.core;
+
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Input;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
+import java.util.function.Consumer;
+
+/** Carries the effects of a {@link World}'s controllers to the other parties, and answers back. */
+final class FakeNetwork {
+  private final World world;
+
+  FakeNetwork(World world) {
+    this.world = world;
+  }
+
+  /** How long a message takes; -1 where it is lost. */
+  long delay(String from, String to) {
+    if (world.isCut(from, to) || world.random.nextDouble() < world.loss) {
+      return -1;
+    }
+    return world.random.nextDouble() < world.late
+        ? 1 + world.random.nextLong(world.lateMs)
+        : 1 + world.random.nextLong(10);
+  }
+
+  private interface Service {
+    void serve(Consumer<Reply> then);
+  }
+
+  /**
+   * Carries a call out: request and reply each may be lost, world.late or, the request,
+   * world.doubled.
+   */
+  private void call(String node, Effect.Call call, String to, Service service) {
+    int life = world.lives.get(node);
+    boolean[] over = {false};
+    Consumer<Reply> back =
+        reply -> {
+          if (!over[0] && world.lives.get(node) == life) {
+            over[0] = true;
+            world.input(node, new Input.Answered(call.call(), reply));
+          }
+        };
+    world.at(call.timeoutMs(), () -> back.accept(new Reply.Unanswered()));
+    int copies = world.random.nextDouble() < world.doubled ? 2 : 1;
+    for (int i = 0; i < copies; i++) {
+      long delay = delay(node, to);
+      if (delay >= 0) {
+        world.at(
+            delay,
+            () ->
+                service.serve(
+                    reply -> {
+                      long backDelay = delay(to, node);
+                      if (backDelay >= 0) {
+                        world.at(backDelay, () -> back.accept(reply));
+                      }
+                    }));
+      }
+    }
+  }
+
+  void carryOut(String node, Effect effect) {
+    if (effect instanceof Effect.AskState it) {
+      if (it.op() instanceof StateOp.Transact && world.random.nextDouble() < world.lateWrites) {
+        world.at(
+            2000 + world.random.nextLong(10_000),
+            () -> world.state.execute(it.op(), world.nowMs, reply -> {}));
+        call(node, it, "nowhere", then -> {});
+      } else if (it.op() instanceof StateOp.Transact
+          && world.random.nextDouble() < world.lostAnswers) {
+        call(node, it, "state", then -> world.stateAccess.serve(node, it.op(), reply -> {}));
+      } else {
+        call(node, it, "state", then -> world.stateAccess.serve(node, it.op(), then));
+      }
+    } else if (effect instanceof Effect.AskTypes it) {
+      askCloud(node, it, () -> new Reply.Types(world.cloud.types));
+    } else if (effect instanceof Effect.AskRent it) {
+      askCloud(node, it, () -> world.cloud.rent(it.rent(), world.nowMs));
+    } else if (effect instanceof Effect.AskReturn it) {
+      askCloud(
+          node,
+          it,
+          () -> {
+            it.machines().forEach(name -> world.cloud.giveBack(name, world.nowMs));
+            return new Reply.Returned();
+          });
+    } else if (effect instanceof Effect.AskHosts it) {
+      askCloud(node, it, () -> world.cloud.list(it.after(), world.nowMs));
+    } else if (effect instanceof Effect.AskCommands it) {
+      worker(
+          node,
+          it,
+          it.addr(),
+          world.commandsLateMs,
+          w -> {
+            boolean executed = w.direct(it.token(), it.session(), it.commands());
+            return new Reply.WorkerAnswer(executed, w.report());
+          });
+    } else if (effect instanceof Effect.AskInspect it) {
+      worker(node, it, it.addr(), 0, w -> new Reply.WorkerAnswer(true, w.report()));
+    } else if (effect instanceof Effect.Answer it) {
+      Consumer<Effect> then = world.answers.remove(it.ticket());
+      if (then != null) {
+        then.accept(effect);
+      }
+    } else {
+      askPeer(node, effect);
+    }
+  }
+
+  private void askPeer(String node, Effect effect) {
+    if (effect instanceof Effect.AskPeerPing it) {
+      call(
+          node,
+          it,
+          it.node(),
+          then ->
+              world.ask(
+                  it.node(),
+                  ticket -> new Input.PeerPing(ticket, it.view()),
+                  said -> then.accept(new Reply.PeerPong(((Effect.AnswerPing) said).view()))));
+    } else if (effect instanceof Effect.AskPeerRequest it) {
+      call(
+          node,
+          it,
+          it.node(),
+          then ->
+              world.ask(
+                  it.node(),
+                  ticket -> new Input.PeerRequest(ticket, it.request()),
+                  said -> then.accept(new Reply.PeerAnswer(((Effect.AnswerUser) said).answer()))));
+    } else if (effect instanceof Effect.AskPeerQueries it) {
+      call(
+          node,
+          it,
+          it.node(),
+          then ->
+              world.ask(
+                  it.node(),
+                  ticket -> new Input.PeerQueries(ticket, it.uids()),
+                  said ->
+                      then.accept(
+                          new Reply.PeerAnswers(((Effect.AnswerPeerQueries) said).answers()))));
+    }
+  }
+
+  private void askCloud(String node, Effect.Call call, java.util.function.Supplier<Reply> answer) {
+    call(
+        node,
+        call,
+        "cloud",
+        then -> then.accept(world.cloud.down ? new Reply.Refused(503) : answer.get()));
+  }
+
+  private void worker(
+      String node,
+      Effect.Call call,
+      String addr,
+      long lateMs,
+      java.util.function.Function<FakeWorker, Reply> answer) {
+    String name = addr.substring(0, addr.indexOf(':'));
+    String to = world.isCut(node, "*") ? "*" : name;
+    call(node, call, to, then -> world.at(lateMs, () -> deliver(name, answer, then)));
+  }
+
+  private void deliver(
+      String name, java.util.function.Function<FakeWorker, Reply> answer, Consumer<Reply> then) {
+    FakeCloud.Host host = world.cloud.host(name);
+    if (host == null || host.worker == null || host.worker.dead) {
+      return;
+    }
+    if (host.worker.hanging) {
+      // Held until the machine goes on.
+      world.at(World.TICK_MS, () -> deliver(name, answer, then));
+    } else {
+      then.accept(answer.apply(host.worker));
+    }
+  }
+
+  /** A zone's machines and one controller are cut off from the other controllers and the cloud. */
+  void cutZone(String zone, String inside, long forMs) {
+    for (int i = 0; i < world.count; i++) {
+      String node = "roost-" + i;
+      if (node.equals(inside)) {
+        continue;
+      }
+      world.cut(node + ">" + inside, forMs);
+      world.cut(inside + ">" + node, forMs);
+      for (FakeWorker worker : world.workers()) {
+        if (worker.machine.zone().equals(zone)) {
+          world.cut(node + ">" + worker.machine.name(), forMs);
+          world.cut(worker.machine.name() + ">" + node, forMs);
+        }
+      }
+    }
+    world.cut(inside + ">state", forMs);
+    world.cut("state>" + inside, forMs);
+  }
+
+  /** Two zones can't reach each other; both reach the state service, the cloud and the users. */
+  void splitZones(long forMs) {
+    for (int i = 0; i < world.count; i++) {
+      for (int j = 0; j < world.count; j++) {
+        if (!Samples.zone(i, world.count).equals(Samples.zone(j, world.count))) {
+          world.cut("roost-" + i + ">roost-" + j, forMs);
+        }
+      }
+      for (FakeWorker worker : world.workers()) {
+        if (!worker.machine.zone().equals(Samples.zone(i, world.count))) {
+          world.cut("roost-" + i + ">" + worker.machine.name(), forMs);
+          world.cut(worker.machine.name() + ">roost-" + i, forMs);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/eiderfork/core/FakeUsers.java
@@ -0,0 +1,121 @@
+package eiderfork.core;
+
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Input;
+import eiderfork.core.message.UserAnswer;
+import eiderfork.model.Job;
+import java.util.function.Consumer;
+
+/** The users of a {@link World}: they repeat what gets no answer, and tell the checker the rest. */
+final class FakeUsers {
+  private final World world;
+
+  FakeUsers(World world) {
+    this.world = world;
+  }
+
+  /** Submits until the job is accepted or refused for good. */
+  void submit(Job job) {
+    world.addJob(job);
+    world.checker.userSubmits(job);
+    user(ticket -> new Input.Submit(ticket, job, new byte[0]), job.uid(), true, 0);
+  }
+
+  /** A user submits to this node once. */
+  void submitAt(String node, Job job) {
+    world.addJob(job);
+    world.checker.userSubmits(job);
+    user(
+        node,
+        ticket -> new Input.Submit(ticket, job, new byte[0]),
+        job.uid(),
+        true,
+        Integer.MAX_VALUE);
+  }
+
+  void abort(String uid) {
+    world.checker.userAborts(uid);
+    user(ticket -> new Input.Abort(ticket, uid), uid, false, 0);
+  }
+
+  /** Asks this node once to cancel. */
+  void abortAt(String node, String uid) {
+    world.checker.userAborts(uid);
+    user(node, ticket -> new Input.Abort(ticket, uid), uid, false, Integer.MAX_VALUE);
+  }
+
+  /** Asks a random live node once. */
+  void query(String uid) {
+    user(ticket -> new Input.Query(ticket, uid), uid, false, Integer.MAX_VALUE);
+  }
+
+  /** Asks all nodes at once. */
+  void queryAll(String uid) {
+    for (int i = 0; i < world.count; i++) {
+      String node = "roost-" + i;
+      user(node, ticket -> new Input.Query(ticket, uid), uid, false, Integer.MAX_VALUE);
+    }
+  }
+
+  /** Asks all nodes at once, and submits the job once more at each. */
+  void lookClosely(String uid) {
+    queryAll(uid);
+    for (int i = 0; i < world.count; i++) {
+      String node = "roost-" + i;
+      Job job = world.job(uid);
+      user(
+          node, ticket -> new Input.Submit(ticket, job, new byte[0]), uid, true, Integer.MAX_VALUE);
+    }
+  }
+
+  /** After each answer that says something new of a job, all nodes are asked within moments. */
+  boolean closeLooks;
+
+  private void user(
+      java.util.function.LongFunction<Input> request, String uid, boolean submission, int tries) {
+    user("roost-" + world.random.nextInt(world.count), request, uid, submission, tries);
+  }
+
+  private void user(
+      String node,
+      java.util.function.LongFunction<Input> request,
+      String uid,
+      boolean submission,
+      int tries) {
+    boolean[] over = {false};
+    Checker.Known known = world.checker.known(uid);
+    Consumer<UserAnswer> end =
+        answer -> {
+          if (over[0]) {
+            return;
+          }
+          over[0] = true;
+          if (answer != null) {
+            boolean news = world.checker.told(world.nowMs, uid, answer, submission, known);
+            if (closeLooks && news) {
+              for (int ms : new int[] {0, 1, 3, 10, 40, 120}) {
+                world.at(ms, () -> lookClosely(uid));
+              }
+            }
+          }
+          // A cancellation is repeated until it is confirmed or the job is done.
+          boolean again =
+              answer == null || answer.status() >= 429 || (!submission && answer.status() != 200);
+          if (again && tries < 60) {
+            world.at(1000, () -> user(request, uid, submission, tries + 1));
+          }
+        };
+    world.at(5000, () -> end.accept(null));
+    if (!world.nodes.containsKey(node)) {
+      world.at(1, () -> end.accept(null));
+      return;
+    }
+    world.at(
+        1,
+        () ->
+            world.ask(
+                node,
+                request,
+                effect -> world.at(1, () -> end.accept(((Effect.AnswerUser) effect).answer()))));
+  }
+}
--- a/src/test/java/eiderfork/core/HistoryTest.java
+++ b/src/test/java/eiderfork/core/HistoryTest.java
@@ -38,7 +38,9 @@
     world.lostAnswers = 0.08;
     world.lateReports = 0.1;
     world.reportsForNext = 0.1;
-    world.closeLooks = seed % 2 == 0;
+    if (seed % 2 == 0) {
+      world.lookCloselyAtNews();
+    }
     world.commandsLateMs = seed % 3 * 700;
     for (int i = 0; i < 7; i++) {
       int kind = (i + (int) seed) % 7;
--- a/src/test/java/eiderfork/core/JobArchiveTest.java
+++ b/src/test/java/eiderfork/core/JobArchiveTest.java
@@ -230,7 +230,7 @@
   void nothingIsTakenBackWhateverIsLateOrLost(long seed) {
     World world = world(seed);
     Random script = new Random(seed);
-    world.closeLooks = true;
+    world.lookCloselyAtNews();
     List<Job> jobs = new ArrayList<>();
     for (int i = 1; i <= 16; i++) {
       JobKind kind = i % 3 == 0 ? JobKind.SERVICE : JobKind.ARRAY;
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -4,9 +4,6 @@
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Input;
 import eiderfork.core.message.Keys;
-import eiderfork.core.message.Reply;
-import eiderfork.core.message.StateOp;
-import eiderfork.core.message.UserAnswer;
 import eiderfork.model.Job;
 import eiderfork.model.Machine;
 import eiderfork.model.Record;
@@ -49,7 +46,7 @@
   /** Nodes that run the version before, now and when they start again. */
   final Set<String> older = new HashSet<>();
 
-  private final Map<String, Integer> lives = new HashMap<>();
+  final Map<String, Integer> lives = new HashMap<>();
 
   /** Links that carry nothing now, as "from>to"; "*" stands for every worker. */
   final Set<String> cuts = new HashSet<>();
@@ -74,8 +71,10 @@
   double reportsForNext;
 
   private final FakeReports reports = new FakeReports(this);
+  private final FakeUsers users = new FakeUsers(this);
+  private final FakeNetwork network = new FakeNetwork(this);
 
-  private final FakeStateAccess stateAccess = new FakeStateAccess(this);
+  final FakeStateAccess stateAccess = new FakeStateAccess(this);
 
   /** How much longer the state service takes over each request. */
   long stateDelayMs;
@@ -92,7 +91,7 @@
   private final PriorityQueue<Event> queue = new PriorityQueue<>();
   private long order;
   private long tickets;
-  private final Map<Long, Consumer<Effect>> answers = new HashMap<>();
+  final Map<Long, Consumer<Effect>> answers = new HashMap<>();
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Set<TaskId> results = new HashSet<>();
 
@@ -125,6 +124,10 @@
     return jobs.get(uid);
   }
 
+  void addJob(Job job) {
+    jobs.put(job.uid(), job);
+  }
+
   /** Whether every task of an array has ended well, whoever knows of it. */
   boolean finished(Job job) {
     return java.util.stream.IntStream.range(0, job.tasks())
@@ -231,7 +234,7 @@
     stillUntilMs.put(node, nowMs + forMs);
   }
 
-  private void input(String node, Input input) {
+  void input(String node, Input input) {
     long stillMs = stillUntilMs.getOrDefault(node, 0L) - nowMs;
     if (stillMs > 0) {
       if (!(input instanceof Input.Tick)) {
@@ -242,133 +245,14 @@
     Controller controller = nodes.get(node);
     if (controller != null) {
       for (Effect effect : controller.take(nowMs, input)) {
-        carryOut(node, effect);
+        network.carryOut(node, effect);
       }
     }
   }
 
   /** How long a message takes; -1 where it is lost. */
   long delay(String from, String to) {
-    if (isCut(from, to) || random.nextDouble() < loss) {
-      return -1;
-    }
-    return random.nextDouble() < late ? 1 + random.nextLong(lateMs) : 1 + random.nextLong(10);
-  }
-
-  private interface Service {
-    void serve(Consumer<Reply> then);
-  }
-
-  /** Carries a call out: request and reply each may be lost, late or, the request, doubled. */
-  private void call(String node, Effect.Call call, String to, Service service) {
-    int life = lives.get(node);
-    boolean[] over = {false};
-    Consumer<Reply> back =
-        reply -> {
-          if (!over[0] && lives.get(node) == life) {
-            over[0] = true;
-            input(node, new Input.Answered(call.call(), reply));
-          }
-        };
-    at(call.timeoutMs(), () -> back.accept(new Reply.Unanswered()));
-    int copies = random.nextDouble() < doubled ? 2 : 1;
-    for (int i = 0; i < copies; i++) {
-      long delay = delay(node, to);
-      if (delay >= 0) {
-        at(
-            delay,
-            () ->
-                service.serve(
-                    reply -> {
-                      long backDelay = delay(to, node);
-                      if (backDelay >= 0) {
-                        at(backDelay, () -> back.accept(reply));
-                      }
-                    }));
-      }
-    }
-  }
-
-  private void carryOut(String node, Effect effect) {
-    if (effect instanceof Effect.AskState it) {
-      if (it.op() instanceof StateOp.Transact && random.nextDouble() < lateWrites) {
-        at(2000 + random.nextLong(10_000), () -> state.execute(it.op(), nowMs, reply -> {}));
-        call(node, it, "nowhere", then -> {});
-      } else if (it.op() instanceof StateOp.Transact && random.nextDouble() < lostAnswers) {
-        call(node, it, "state", then -> stateAccess.serve(node, it.op(), reply -> {}));
-      } else {
-        call(node, it, "state", then -> stateAccess.serve(node, it.op(), then));
-      }
-    } else if (effect instanceof Effect.AskTypes it) {
-      askCloud(node, it, () -> new Reply.Types(cloud.types));
-    } else if (effect instanceof Effect.AskRent it) {
-      askCloud(node, it, () -> cloud.rent(it.rent(), nowMs));
-    } else if (effect instanceof Effect.AskReturn it) {
-      askCloud(
-          node,
-          it,
-          () -> {
-            it.machines().forEach(name -> cloud.giveBack(name, nowMs));
-            return new Reply.Returned();
-          });
-    } else if (effect instanceof Effect.AskHosts it) {
-      askCloud(node, it, () -> cloud.list(it.after(), nowMs));
-    } else if (effect instanceof Effect.AskCommands it) {
-      worker(
-          node,
-          it,
-          it.addr(),
-          commandsLateMs,
-          w -> {
-            boolean executed = w.direct(it.token(), it.session(), it.commands());
-            return new Reply.WorkerAnswer(executed, w.report());
-          });
-    } else if (effect instanceof Effect.AskInspect it) {
-      worker(node, it, it.addr(), 0, w -> new Reply.WorkerAnswer(true, w.report()));
-    } else if (effect instanceof Effect.Answer it) {
-      Consumer<Effect> then = answers.remove(it.ticket());
-      if (then != null) {
-        then.accept(effect);
-      }
-    } else {
-      askPeer(node, effect);
-    }
-  }
-
-  private void askPeer(String node, Effect effect) {
-    if (effect instanceof Effect.AskPeerPing it) {
-      call(
-          node,
-          it,
-          it.node(),
-          then ->
-              ask(
-                  it.node(),
-                  ticket -> new Input.PeerPing(ticket, it.view()),
-                  said -> then.accept(new Reply.PeerPong(((Effect.AnswerPing) said).view()))));
-    } else if (effect instanceof Effect.AskPeerRequest it) {
-      call(
-          node,
-          it,
-          it.node(),
-          then ->
-              ask(
-                  it.node(),
-                  ticket -> new Input.PeerRequest(ticket, it.request()),
-                  said -> then.accept(new Reply.PeerAnswer(((Effect.AnswerUser) said).answer()))));
-    } else if (effect instanceof Effect.AskPeerQueries it) {
-      call(
-          node,
-          it,
-          it.node(),
-          then ->
-              ask(
-                  it.node(),
-                  ticket -> new Input.PeerQueries(ticket, it.uids()),
-                  said ->
-                      then.accept(
-                          new Reply.PeerAnswers(((Effect.AnswerPeerQueries) said).answers()))));
-    }
+    return network.delay(from, to);
   }
 
   /** The state service refuses this node alone; its open watches wait. */
@@ -388,39 +272,12 @@
 
   /** A zone's machines and one controller are cut off from the other controllers and the cloud. */
   void cutZone(String zone, String inside, long forMs) {
-    for (int i = 0; i < count; i++) {
-      String node = "roost-" + i;
-      if (node.equals(inside)) {
-        continue;
-      }
-      cut(node + ">" + inside, forMs);
-      cut(inside + ">" + node, forMs);
-      for (FakeWorker worker : workers()) {
-        if (worker.machine.zone().equals(zone)) {
-          cut(node + ">" + worker.machine.name(), forMs);
-          cut(worker.machine.name() + ">" + node, forMs);
-        }
-      }
-    }
-    cut(inside + ">state", forMs);
-    cut("state>" + inside, forMs);
+    network.cutZone(zone, inside, forMs);
   }
 
   /** Two zones can't reach each other; both reach the state service, the cloud and the users. */
   void splitZones(long forMs) {
-    for (int i = 0; i < count; i++) {
-      for (int j = 0; j < count; j++) {
-        if (!Samples.zone(i, count).equals(Samples.zone(j, count))) {
-          cut("roost-" + i + ">roost-" + j, forMs);
-        }
-      }
-      for (FakeWorker worker : workers()) {
-        if (!worker.machine.zone().equals(Samples.zone(i, count))) {
-          cut("roost-" + i + ">" + worker.machine.name(), forMs);
-          cut(worker.machine.name() + ">roost-" + i, forMs);
-        }
-      }
-    }
+    network.splitZones(forMs);
   }
 
   /** Reports of the next second are held up for this long. */
@@ -470,16 +327,6 @@
     }
   }
 
-  // The cloud.
-
-  private void askCloud(String node, Effect.Call call, java.util.function.Supplier<Reply> answer) {
-    call(
-        node,
-        call,
-        "cloud",
-        then -> then.accept(cloud.down ? new Reply.Refused(503) : answer.get()));
-  }
-
   // Workers.
 
   List<FakeWorker> workers() {
@@ -491,136 +338,45 @@
     cloud.die(name, nowMs);
   }
 
-  private void worker(
-      String node,
-      Effect.Call call,
-      String addr,
-      long lateMs,
-      java.util.function.Function<FakeWorker, Reply> answer) {
-    String name = addr.substring(0, addr.indexOf(':'));
-    String to = isCut(node, "*") ? "*" : name;
-    call(node, call, to, then -> at(lateMs, () -> deliver(name, answer, then)));
-  }
-
-  private void deliver(
-      String name, java.util.function.Function<FakeWorker, Reply> answer, Consumer<Reply> then) {
-    FakeCloud.Host host = cloud.host(name);
-    if (host == null || host.worker == null || host.worker.dead) {
-      return;
-    }
-    if (host.worker.hanging) {
-      // Held until the machine goes on.
-      at(TICK_MS, () -> deliver(name, answer, then));
-    } else {
-      then.accept(answer.apply(host.worker));
-    }
-  }
-
   // Users.
 
   /** A user submits until the job is accepted or refused for good. */
   void submit(Job job) {
-    jobs.put(job.uid(), job);
-    checker.userSubmits(job);
-    user(ticket -> new Input.Submit(ticket, job, new byte[0]), job.uid(), true, 0);
+    users.submit(job);
   }
 
   /** A user submits to this node once. */
   void submitAt(String node, Job job) {
-    jobs.put(job.uid(), job);
-    checker.userSubmits(job);
-    user(
-        node,
-        ticket -> new Input.Submit(ticket, job, new byte[0]),
-        job.uid(),
-        true,
-        Integer.MAX_VALUE);
+    users.submitAt(node, job);
   }
 
   void abort(String uid) {
-    checker.userAborts(uid);
-    user(ticket -> new Input.Abort(ticket, uid), uid, false, 0);
+    users.abort(uid);
   }
 
   /** Asks this node once to cancel. */
   void abortAt(String node, String uid) {
-    checker.userAborts(uid);
-    user(node, ticket -> new Input.Abort(ticket, uid), uid, false, Integer.MAX_VALUE);
+    users.abortAt(node, uid);
   }
 
   /** Asks a random live node once. */
   void query(String uid) {
-    user(ticket -> new Input.Query(ticket, uid), uid, false, Integer.MAX_VALUE);
+    users.query(uid);
   }
 
   /** Asks all nodes at once. */
   void queryAll(String uid) {
-    for (int i = 0; i < count; i++) {
-      String node = "roost-" + i;
-      user(node, ticket -> new Input.Query(ticket, uid), uid, false, Integer.MAX_VALUE);
-    }
+    users.queryAll(uid);
   }
 
   /** Asks all nodes at once, and submits the job once more at each. */
   void lookClosely(String uid) {
-    queryAll(uid);
-    for (int i = 0; i < count; i++) {
-      String node = "roost-" + i;
-      Job job = jobs.get(uid);
-      user(
-          node, ticket -> new Input.Submit(ticket, job, new byte[0]), uid, true, Integer.MAX_VALUE);
-    }
+    users.lookClosely(uid);
   }
 
   /** After each answer that says something new of a job, all nodes are asked within moments. */
-  boolean closeLooks;
-
-  private void user(
-      java.util.function.LongFunction<Input> request, String uid, boolean submission, int tries) {
-    user("roost-" + random.nextInt(count), request, uid, submission, tries);
-  }
-
-  private void user(
-      String node,
-      java.util.function.LongFunction<Input> request,
-      String uid,
-      boolean submission,
-      int tries) {
-    boolean[] over = {false};
-    Checker.Known known = checker.known(uid);
-    Consumer<UserAnswer> end =
-        answer -> {
-          if (over[0]) {
-            return;
-          }
-          over[0] = true;
-          if (answer != null) {
-            boolean news = checker.told(nowMs, uid, answer, submission, known);
-            if (closeLooks && news) {
-              for (int ms : new int[] {0, 1, 3, 10, 40, 120}) {
-                at(ms, () -> lookClosely(uid));
-              }
-            }
-          }
-          // A cancellation is repeated until it is confirmed or the job is done.
-          boolean again =
-              answer == null || answer.status() >= 429 || (!submission && answer.status() != 200);
-          if (again && tries < 60) {
-            at(1000, () -> user(request, uid, submission, tries + 1));
-          }
-        };
-    at(5000, () -> end.accept(null));
-    if (!nodes.containsKey(node)) {
-      at(1, () -> end.accept(null));
-      return;
-    }
-    at(
-        1,
-        () ->
-            ask(
-                node,
-                request,
-                effect -> at(1, () -> end.accept(((Effect.AnswerUser) effect).answer()))));
+  void lookCloselyAtNews() {
+    users.closeLooks = true;
   }
 
   String leader() {
