--- a/src/main/java/eiderfork/core/Cancellations.java
+++ b/src/main/java/eiderfork/core/Cancellations.java
@@ -3,6 +3,7 @@
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.CancellationNews;
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/src/main/java/eiderfork/core/Cloud.java
+++ b/src/main/java/eiderfork/core/Cloud.java
@@ -1,12 +1,16 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.limits.Backoff;
 import eiderfork.core.limits.TokenBucket;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Term;
+import eiderfork.core.state.Urgency;
 import eiderfork.model.HostEntry;
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/src/main/java/eiderfork/core/ClusterVersion.java
+++ b/src/main/java/eiderfork/core/ClusterVersion.java
@@ -1,9 +1,13 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Term;
+import eiderfork.core.state.Urgency;
 import eiderfork.model.Record;
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/eiderfork/core/CommittedState.java
+++ b/src/main/java/eiderfork/core/CommittedState.java
@@ -1,9 +1,16 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
+import eiderfork.core.state.JobPages;
+import eiderfork.core.state.ReadBarrier;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.StateReader;
+import eiderfork.core.state.Term;
+import eiderfork.core.state.Urgency;
 import eiderfork.model.Job;
 import eiderfork.model.Record;
 import java.util.function.LongConsumer;
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -2,11 +2,17 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.config.Settings;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Input;
 import eiderfork.core.message.PeerView;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.UserAnswer;
+import eiderfork.core.state.JobPages;
+import eiderfork.core.state.ReadBarrier;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.StateReader;
+import eiderfork.core.state.Term;
 import eiderfork.model.Report;
 import java.util.List;
 import java.util.random.RandomGenerator;
--- a/src/main/java/eiderfork/core/EndedJobSweep.java
+++ b/src/main/java/eiderfork/core/EndedJobSweep.java
@@ -1,7 +1,11 @@
 package eiderfork.core;
 
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
+import eiderfork.core.state.JobPages;
+import eiderfork.core.state.Term;
+import eiderfork.core.state.Urgency;
 import eiderfork.model.Record;
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/eiderfork/core/Fleet.java
+++ b/src/main/java/eiderfork/core/Fleet.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import eiderfork.core.context.Context;
 import eiderfork.model.HostEntry;
 import eiderfork.model.Machine;
 import eiderfork.model.MachineType;
--- a/src/main/java/eiderfork/core/Forwards.java
+++ b/src/main/java/eiderfork/core/Forwards.java
@@ -1,6 +1,7 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.UserAnswer;
--- a/src/main/java/eiderfork/core/Hearing.java
+++ b/src/main/java/eiderfork/core/Hearing.java
@@ -1,5 +1,7 @@
 package eiderfork.core;
 
+import eiderfork.core.context.Context;
+import eiderfork.core.state.Term;
 import java.util.HashMap;
 import java.util.Map;
 import org.slf4j.Logger;
--- a/src/main/java/eiderfork/core/ImageFetch.java
+++ b/src/main/java/eiderfork/core/ImageFetch.java
@@ -1,5 +1,6 @@
 package eiderfork.core;
 
+import eiderfork.core.context.Context;
 import eiderfork.model.Job;
 import eiderfork.model.MachineType;
 
--- a/src/main/java/eiderfork/core/JobCancellation.java
+++ b/src/main/java/eiderfork/core/JobCancellation.java
@@ -5,6 +5,8 @@
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
 import eiderfork.core.message.UserAnswer;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Urgency;
 import eiderfork.model.Job;
 import eiderfork.model.Record;
 import java.util.function.Consumer;
--- a/src/main/java/eiderfork/core/JobTable.java
+++ b/src/main/java/eiderfork/core/JobTable.java
@@ -2,7 +2,11 @@
 
 import com.google.common.collect.Interner;
 import com.google.common.collect.Interners;
+import eiderfork.core.context.Context;
 import eiderfork.core.limits.Backoff;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Term;
+import eiderfork.core.state.Urgency;
 import eiderfork.model.Job;
 import eiderfork.model.MachineType;
 import eiderfork.model.Record;
--- a/src/main/java/eiderfork/core/LeaseLapses.java
+++ b/src/main/java/eiderfork/core/LeaseLapses.java
@@ -1,5 +1,6 @@
 package eiderfork.core;
 
+import eiderfork.core.context.Context;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
--- a/src/main/java/eiderfork/core/LeaseProxy.java
+++ b/src/main/java/eiderfork/core/LeaseProxy.java
@@ -1,10 +1,14 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Term;
+import eiderfork.core.state.Urgency;
 import eiderfork.model.Command;
 import eiderfork.model.Record;
 import eiderfork.model.Report;
--- a/src/main/java/eiderfork/core/MachineLiveness.java
+++ b/src/main/java/eiderfork/core/MachineLiveness.java
@@ -1,5 +1,8 @@
 package eiderfork.core;
 
+import eiderfork.core.context.Context;
+import eiderfork.core.state.Term;
+
 /** What the leader knows of whether machines are alive, obey it and may be given tasks. */
 final class MachineLiveness {
   /**
--- a/src/main/java/eiderfork/core/MachineReturns.java
+++ b/src/main/java/eiderfork/core/MachineReturns.java
@@ -1,11 +1,13 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.limits.Backoff;
 import eiderfork.core.limits.TokenBucket;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
+import eiderfork.core.state.Term;
 import eiderfork.model.Record;
 import java.util.ArrayList;
 import java.util.HashSet;
--- a/src/main/java/eiderfork/core/ParkedReports.java
+++ b/src/main/java/eiderfork/core/ParkedReports.java
@@ -1,5 +1,6 @@
 package eiderfork.core;
 
+import eiderfork.core.context.Context;
 import eiderfork.model.Report;
 import java.util.ArrayDeque;
 import java.util.Iterator;
--- a/src/main/java/eiderfork/core/Peers.java
+++ b/src/main/java/eiderfork/core/Peers.java
@@ -1,9 +1,11 @@
 package eiderfork.core;
 
 import eiderfork.config.Settings;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.PeerView;
 import eiderfork.core.message.Reply;
+import eiderfork.core.state.Term;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Function;
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -1,6 +1,10 @@
 package eiderfork.core;
 
 import eiderfork.config.Settings.Objective;
+import eiderfork.core.context.Context;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Term;
+import eiderfork.core.state.Urgency;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Resources;
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -1,6 +1,8 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
+import eiderfork.core.state.StateGate;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.MachineType;
--- a/src/main/java/eiderfork/core/Preemption.java
+++ b/src/main/java/eiderfork/core/Preemption.java
@@ -1,6 +1,7 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableSet;
+import eiderfork.core.context.Context;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Priority;
--- a/src/main/java/eiderfork/core/ReportReconciler.java
+++ b/src/main/java/eiderfork/core/ReportReconciler.java
@@ -1,5 +1,7 @@
 package eiderfork.core;
 
+import eiderfork.core.context.Context;
+import eiderfork.core.state.Term;
 import eiderfork.model.Attempt;
 import eiderfork.model.MachineType;
 import eiderfork.model.TaskReport;
--- a/src/main/java/eiderfork/core/StoredJobs.java
+++ b/src/main/java/eiderfork/core/StoredJobs.java
@@ -3,6 +3,8 @@
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Urgency;
 import eiderfork.model.Job;
 import eiderfork.model.JobStatus;
 import eiderfork.model.Record;
--- a/src/main/java/eiderfork/core/Submissions.java
+++ b/src/main/java/eiderfork/core/Submissions.java
@@ -2,10 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
 import eiderfork.core.message.UserAnswer;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Urgency;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.JobStatus;
--- a/src/main/java/eiderfork/core/TurnOrder.java
+++ b/src/main/java/eiderfork/core/TurnOrder.java
@@ -1,6 +1,7 @@
 package eiderfork.core;
 
 import eiderfork.config.Settings.Objective;
+import eiderfork.core.context.Context;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import java.util.OptionalLong;
--- a/src/main/java/eiderfork/core/UserRequests.java
+++ b/src/main/java/eiderfork/core/UserRequests.java
@@ -1,9 +1,14 @@
 package eiderfork.core;
 
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Input;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.UserAnswer;
+import eiderfork.core.state.ReadBarrier;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Term;
+import eiderfork.core.state.Urgency;
 import eiderfork.model.Job;
 import eiderfork.model.JobStatus;
 import java.util.function.Consumer;
--- a/src/main/java/eiderfork/core/WaitLimit.java
+++ b/src/main/java/eiderfork/core/WaitLimit.java
@@ -1,5 +1,6 @@
 package eiderfork.core;
 
+import eiderfork.core.context.Context;
 import eiderfork.core.message.UserAnswer;
 import java.util.function.Consumer;
 
--- a/src/main/java/eiderfork/core/WorkerControl.java
+++ b/src/main/java/eiderfork/core/WorkerControl.java
@@ -1,8 +1,10 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Reply;
+import eiderfork.core.state.Term;
 import eiderfork.model.Attempt;
 import eiderfork.model.Command;
 import eiderfork.model.Report;
--- a/src/main/java/eiderfork/core/Context.java
+++ b/src/main/java/eiderfork/core/context/Context.java
@@ -1,4 +1,4 @@
-package eiderfork.core;
+package eiderfork.core.context;
 
 import eiderfork.config.Settings;
 import eiderfork.core.message.Effect;
@@ -11,48 +11,53 @@
 import java.util.random.RandomGenerator;
 
 /** What the parts of one controller share: the time of the input, its effects, open calls. */
-final class Context {
-  final Settings settings;
-  final RandomGenerator random;
+public final class Context {
+  public final Settings settings;
+  public final RandomGenerator random;
 
   /** The steady time of the input being taken. */
-  long nowMs;
+  public long nowMs;
 
   private final Long2ObjectOpenHashMap<Consumer<Reply>> open = new Long2ObjectOpenHashMap<>();
   private List<Effect> effects = new ArrayList<>();
   private long lastCall;
 
-  Context(Settings settings, RandomGenerator random, long nowMs) {
+  /** Makes what the parts of a controller share. */
+  public Context(Settings settings, RandomGenerator random, long nowMs) {
     this.settings = settings;
     this.random = random;
     this.nowMs = nowMs;
   }
 
-  void emit(Effect effect) {
+  /** Has something sent or answered. */
+  public void emit(Effect effect) {
     effects.add(effect);
   }
 
   /** Sends a call and has {@code then} take its reply. */
-  void ask(LongFunction<Effect.Call> call, Consumer<Reply> then) {
+  public void ask(LongFunction<Effect.Call> call, Consumer<Reply> then) {
     long id = ++lastCall;
     open.put(id, then);
     effects.add(call.apply(id));
   }
 
-  void answered(long call, Reply reply) {
+  /** Hands a reply to whoever asked. */
+  public void answered(long call, Reply reply) {
     Consumer<Reply> then = open.remove(call);
     if (then != null) {
       then.accept(reply);
     }
   }
 
-  List<Effect> takeEffects() {
+  /** What is to be sent and answered since this was last taken. */
+  public List<Effect> takeEffects() {
     List<Effect> taken = effects;
     effects = new ArrayList<>();
     return taken;
   }
 
-  long reportMs() {
+  /** The interval of workers' reports. */
+  public long reportMs() {
     return (long) (settings.workers().reportS() * 1000);
   }
 
@@ -61,23 +66,27 @@
    * that a worker waits for an answer, and half of what a user waits for one to a poll. Where it
    * hung on the report interval, an interval of 4 s had users and workers wait past their time.
    */
-  long stepMs() {
+  public long stepMs() {
     return Math.min(reportMs(), ANSWER_MS / 4);
   }
 
-  double stepS() {
+  /** The step in seconds. */
+  public double stepS() {
     return stepMs() / 1000.0;
   }
 
-  long leaseMs() {
+  /** The workers' lease. */
+  public long leaseMs() {
     return (long) (settings.workers().leaseS() * 1000);
   }
 
-  long cancelMs() {
+  /** The time in which a cancelled task must have ended. */
+  public long cancelMs() {
     return (long) (settings.workers().cancelS() * 1000);
   }
 
-  long listLagMs() {
+  /** How old the cloud's list may be. */
+  public long listLagMs() {
     return (long) (settings.cloudLimits().listLagS() * 1000);
   }
 
@@ -85,10 +94,10 @@
   private static final long ANSWER_MS = 4000;
 
   /** A steady clock may be off by this share; lapses are judged with twice that to spare. */
-  static final double CLOCK_DRIFT = 0.001;
+  public static final double CLOCK_DRIFT = 0.001;
 
   /** A time span after which another clock has surely seen {@code ms} go by. */
-  static long surely(long ms) {
+  public static long surely(long ms) {
     return (long) Math.ceil(ms * (1 + CLOCK_DRIFT));
   }
 }
--- a/src/main/java/eiderfork/core/JobPages.java
+++ b/src/main/java/eiderfork/core/state/JobPages.java
@@ -1,4 +1,4 @@
-package eiderfork.core;
+package eiderfork.core.state;
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.core.message.Keys;
@@ -8,22 +8,25 @@
  * Reads stored jobs a page at a time, each page with the alloc records of its jobs, so that a
  * reader can let go of what it has no use for before it reads on.
  */
-final class JobPages {
+public final class JobPages {
   /**
    * A page of submissions, and the alloc records between the page before and this one's end.
    *
    * @param next the id of the job after which the next page begins; null where this is the last
    */
-  record JobPage(ImmutableList<Reply.Item> jobs, ImmutableList<Reply.Item> allocs, String next) {}
+  public record JobPage(
+      ImmutableList<Reply.Item> jobs, ImmutableList<Reply.Item> allocs, String next) {}
 
   /** Takes a page. */
-  interface Taker {
+  public interface Taker {
+    /** Takes the page. */
     void take(JobPage page);
   }
 
   private final StateReader reader;
 
-  JobPages(StateReader reader) {
+  /** Makes a reader of jobs on one of ranges of keys. */
+  public JobPages(StateReader reader) {
     this.reader = reader;
   }
 
@@ -33,7 +36,7 @@
    * @param after the id of the job after which the page begins; empty for the first page
    * @param number the term in which this node leads
    */
-  void read(String after, long number, Urgency urgency, Taker taker) {
+  public void read(String after, long number, Urgency urgency, Taker taker) {
     reader.page(
         Keys.JOB,
         keyAfter(Keys.JOB, after),
--- a/src/main/java/eiderfork/core/NodeOrder.java
+++ b/src/main/java/eiderfork/core/state/NodeOrder.java
@@ -1,4 +1,4 @@
-package eiderfork.core;
+package eiderfork.core.state;
 
 import eiderfork.config.Settings;
 import java.util.ArrayList;
@@ -10,8 +10,9 @@
  * that {@code node-10} comes after {@code node-9}. It is a hint for who should lead; no rule hangs
  * on it.
  */
-record NodeOrder(List<String> nodes, Settings settings) {
-  static NodeOrder of(Settings settings) {
+public record NodeOrder(List<String> nodes, Settings settings) {
+  /** The order of all nodes that the settings name. */
+  public static NodeOrder of(Settings settings) {
     List<String> nodes = new ArrayList<>(settings.peers().keySet());
     nodes.add(settings.node());
     nodes.sort(Comparator.comparingInt(String::length).thenComparing(Comparator.naturalOrder()));
@@ -24,7 +25,7 @@
    * stands in the leader's zone too, the second try takes the rest of its lease. A leader behind
    * which workers find a node of the other zone loses none of them in a split.
    */
-  boolean nextStandsInOtherZone() {
+  public boolean nextStandsInOtherZone() {
     String own = settings.zone();
     boolean severalZones = settings.peerZones().values().stream().anyMatch(z -> !z.equals(own));
     int next = (nodes.indexOf(settings.node()) + 1) % nodes.size();
--- a/src/main/java/eiderfork/core/ReadBarrier.java
+++ b/src/main/java/eiderfork/core/state/ReadBarrier.java
@@ -1,5 +1,6 @@
-package eiderfork.core;
+package eiderfork.core.state;
 
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
@@ -14,7 +15,7 @@
  * a moment later, and an answer from memory in between would be older than what was told. One
  * request serves every question that waits.
  */
-final class ReadBarrier {
+public final class ReadBarrier {
   private final Context context;
   private final StateGate gate;
   private final Consumer<Reply.Item> taker;
@@ -28,7 +29,7 @@
    * @param taker takes each cancellation
    * @param caughtUpTo takes the moment of which all cancellations have been taken
    */
-  ReadBarrier(
+  public ReadBarrier(
       Context context, StateGate gate, Consumer<Reply.Item> taker, LongConsumer caughtUpTo) {
     this.context = context;
     this.gate = gate;
@@ -37,12 +38,12 @@
   }
 
   /** Memory holds what was committed up to this revision. */
-  void start(long upTo) {
+  public void start(long upTo) {
     revision = Math.max(revision, upTo);
   }
 
   /** Gives those who wait no for an answer: memory is not this node's to speak from any more. */
-  void stop() {
+  public void stop() {
     round++;
     asking = false;
     revision = 0;
@@ -52,12 +53,12 @@
   }
 
   /** Calls back with whether memory has caught up with this moment, or with a later one. */
-  void pass(Consumer<Boolean> then) {
+  public void pass(Consumer<Boolean> then) {
     waiting.add(then);
   }
 
   /** Asks for all that came since the last tick; a question waits for that, not for long. */
-  void tick() {
+  public void tick() {
     if (!asking && !waiting.isEmpty()) {
       ask();
     }
--- a/src/main/java/eiderfork/core/StateGate.java
+++ b/src/main/java/eiderfork/core/state/StateGate.java
@@ -1,6 +1,7 @@
-package eiderfork.core;
+package eiderfork.core.state;
 
 import eiderfork.config.Settings;
+import eiderfork.core.context.Context;
 import eiderfork.core.limits.TokenBucket;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Reply;
@@ -15,7 +16,7 @@
 import org.slf4j.LoggerFactory;
 
 /** The way to the state service: keeps its limits, the most urgent call first. */
-final class StateGate {
+public final class StateGate {
   private static final Logger LOG = LoggerFactory.getLogger(StateGate.class);
 
   /** A slow answer takes a few hundred milliseconds; past this many steps it is lost. */
@@ -48,7 +49,8 @@
   private final int[] queuedWrites = new int[Urgency.values().length];
   private long lastServedMs;
 
-  StateGate(Context context) {
+  /** Makes the way to the state service of a node that follows. */
+  public StateGate(Context context) {
     this.context = context;
     requests = new TokenBucket(1, 1, context.nowMs);
     writes = new TokenBucket(1, 1, context.nowMs);
@@ -61,7 +63,7 @@
   }
 
   /** Takes the leader's share of the limits, or a follower's. */
-  void leading(boolean leads) {
+  public void leading(boolean leads) {
     leading = leads;
     int followers = Math.max(1, context.settings.peers().size());
     double rps = limits().rps() * (leading ? LEADER_REQUESTS : (1 - LEADER_REQUESTS) / followers);
@@ -76,11 +78,12 @@
   }
 
   /** The largest value that the service is known to take now. */
-  double valueKb() {
+  public double valueKb() {
     return limits().valueKb();
   }
 
-  void send(StateOp op, Urgency urgency, Consumer<Reply> then) {
+  /** Sends an operation once its turn has come, and has {@code then} take its reply. */
+  public void send(StateOp op, Urgency urgency, Consumer<Reply> then) {
     int cost = op instanceof StateOp.Transact t ? t.changes().size() : 0;
     queues.get(urgency).add(new Waiting(op, cost, context.nowMs, then));
     queuedWrites[urgency.ordinal()] += cost;
@@ -88,7 +91,7 @@
   }
 
   /** How long a write of this urgency would wait for its turn. */
-  long waitMs(Urgency urgency) {
+  public long waitMs(Urgency urgency) {
     double ahead = 0;
     for (int i = 0; i <= urgency.ordinal(); i++) {
       ahead += queuedWrites[i];
@@ -100,14 +103,14 @@
    * Whether so many changes would leave at least half of what may be written at once, and nothing
    * else waits.
    */
-  boolean hasSpareWrites(int changes) {
+  public boolean hasSpareWrites(int changes) {
     boolean idle = queues.values().stream().allMatch(Queue::isEmpty);
     double kept = writes.burst() / 2;
     return idle && writes.has(Math.min(changes + kept, writes.burst()), context.nowMs);
   }
 
   /** How long a request of the least urgency would wait for its turn. */
-  long readWaitMs() {
+  public long readWaitMs() {
     int ahead = 0;
     for (Queue<Waiting> queue : queues.values()) {
       ahead += queue.size();
@@ -116,7 +119,7 @@
   }
 
   /** Tells how long the writes of each urgency waited for their turn since the last time. */
-  String tellWaits() {
+  public String tellWaits() {
     StringBuilder text = new StringBuilder();
     waits.forEach(
         (urgency, it) -> {
@@ -135,11 +138,13 @@
     return text.toString();
   }
 
-  long servedAgeMs() {
+  /** How long ago the service last answered with anything but a refusal. */
+  public long servedAgeMs() {
     return context.nowMs - lastServedMs;
   }
 
-  void pump() {
+  /** Sends what waits, as far as the limits allow now. */
+  public void pump() {
     for (Map.Entry<Urgency, Queue<Waiting>> entry : queues.entrySet()) {
       Queue<Waiting> queue = entry.getValue();
       while (!queue.isEmpty()) {
--- a/src/main/java/eiderfork/core/StateReader.java
+++ b/src/main/java/eiderfork/core/state/StateReader.java
@@ -1,4 +1,4 @@
-package eiderfork.core;
+package eiderfork.core.state;
 
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
@@ -12,35 +12,36 @@
 import java.util.function.LongConsumer;
 
 /** A leader's reads of whole ranges of keys. One that fails is tried again at the next tick. */
-final class StateReader {
+public final class StateReader {
   private final StateGate gate;
   private final Term term;
   private final List<Runnable> again = new ArrayList<>();
 
-  StateReader(StateGate gate, Term term) {
+  /** Makes a reader that reads while this node leads. */
+  public StateReader(StateGate gate, Term term) {
     this.gate = gate;
     this.term = term;
   }
 
   /** Tries again what has failed. */
-  void tick() {
+  public void tick() {
     List<Runnable> due = List.copyOf(again);
     again.clear();
     due.forEach(Runnable::run);
   }
 
   /** Gives up what was to be tried again. */
-  void stop() {
+  public void stop() {
     again.clear();
   }
 
   /** Has something tried at the next tick. */
-  void later(Runnable what) {
+  public void later(Runnable what) {
     again.add(what);
   }
 
   /** Whether this node still leads this term. */
-  boolean leads(long number) {
+  public boolean leads(long number) {
     return term.leading() && term.number() == number;
   }
 
@@ -50,7 +51,7 @@
    * @param taker takes each of them
    * @param then takes the revision of the first page once all were read
    */
-  void scan(
+  public void scan(
       String prefix, String after, long number, Consumer<Reply.Item> taker, LongConsumer then) {
     page(
         prefix,
@@ -69,7 +70,8 @@
   }
 
   /** Reads one page of the keys under a prefix, as often as it takes while this node leads. */
-  void page(String prefix, String after, long number, Urgency urgency, Consumer<Reply.Page> taker) {
+  public void page(
+      String prefix, String after, long number, Urgency urgency, Consumer<Reply.Page> taker) {
     gate.send(
         new StateOp.Scan(prefix, after),
         urgency,
@@ -86,7 +88,7 @@
   }
 
   /** Reads which machines other nodes answer in this one's place; null where a record is spoilt. */
-  void readProxied(Consumer<Set<String>> then) {
+  public void readProxied(Consumer<Set<String>> then) {
     Set<String> names = new HashSet<>();
     boolean[] whole = {true};
     scan(
--- a/src/main/java/eiderfork/core/Term.java
+++ b/src/main/java/eiderfork/core/state/Term.java
@@ -1,6 +1,7 @@
-package eiderfork.core;
+package eiderfork.core.state;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.limits.Backoff;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
@@ -13,11 +14,11 @@
  * Who leads. The leader key hangs on a short lease in the state service; the transaction that takes
  * it counts up the term.
  */
-final class Term {
+public final class Term {
   private static final Logger LOG = LoggerFactory.getLogger(Term.class);
 
   /** What the owner of the term does on a change of it. */
-  interface Listener {
+  public interface Listener {
     /** This node leads now, in a term of its own. */
     void elected();
 
@@ -34,7 +35,7 @@
   }
 
   /** The term stands in the bits above these of a token, the per-worker sequence below. */
-  static final int SEQUENCE_BITS = 24;
+  public static final int SEQUENCE_BITS = 24;
 
   /** A lease is renewed this many times in its life, so that two lost renewals are survived. */
   private static final int RENEWALS = 3;
@@ -77,7 +78,8 @@
   /** Since when the leader key has been seen to be missing; -1 while it stands. */
   private long vacantSinceMs = -1;
 
-  Term(Context context, StateGate gate, Listener listener) {
+  /** Makes a term that this node follows in; {@code listener} is told of changes. */
+  public Term(Context context, StateGate gate, Listener listener) {
     this.context = context;
     this.gate = gate;
     this.listener = listener;
@@ -88,39 +90,43 @@
     yields = !NodeOrder.of(context.settings).nextStandsInOtherZone();
   }
 
-  boolean leading() {
+  /** Whether this node leads, as far as it knows. */
+  public boolean leading() {
     return phase == Phase.LEADING;
   }
 
   /** Whether the lease surely holds, so that nobody else can lead. */
-  boolean sure() {
+  public boolean sure() {
     return leading() && context.nowMs < leaseSureUntilMs;
   }
 
-  long number() {
+  /** The term that this node leads in or follows. */
+  public long number() {
     return term;
   }
 
   /** The smallest fencing token of this term. */
-  long firstToken() {
+  public long firstToken() {
     return term << SEQUENCE_BITS;
   }
 
   /** The smallest fencing token of the next term. */
-  long endOfTokens() {
+  public long endOfTokens() {
     return (term + 1) << SEQUENCE_BITS;
   }
 
   /** The node that leads as far as known, or null. */
-  String leader() {
+  public String leader() {
     return leading() ? context.settings.node() : leader;
   }
 
-  StateOp.Condition condition() {
+  /** The condition under which a leader's write is carried out in its own term alone. */
+  public StateOp.Condition condition() {
     return new StateOp.Condition(Keys.LEADER, leaderVersion);
   }
 
-  void tick() {
+  /** Renews the lease, or looks for a lead that is vacant. */
+  public void tick() {
     if (leading()) {
       if (!renewing && context.nowMs >= nextMs) {
         renew();
@@ -133,7 +139,7 @@
   }
 
   /** A higher term was seen somewhere: this node's is over. */
-  void outdated(long seen) {
+  public void outdated(long seen) {
     if (leading() && seen > term) {
       LOG.info("term {} is over: term {} was seen", term, seen);
       lose();
@@ -141,7 +147,7 @@
   }
 
   /** Gives the lead up, and leaves it to others for a while. */
-  void resign(long quietMs) {
+  public void resign(long quietMs) {
     if (!leading()) {
       return;
     }
@@ -153,7 +159,7 @@
   }
 
   /** A peer says that it leads. */
-  void heardLeader(String node, long itsTerm) {
+  public void heardLeader(String node, long itsTerm) {
     if (itsTerm > term) {
       outdated(itsTerm);
       term = itsTerm;
@@ -191,7 +197,7 @@
   }
 
   /** The leader key's conditions failed: somebody else's key stands there. */
-  void conditionFailed() {
+  public void conditionFailed() {
     if (leading()) {
       LOG.info("term {}: the leader key is not ours any more", term);
       lose();
--- a/src/main/java/eiderfork/core/Urgency.java
+++ b/src/main/java/eiderfork/core/state/Urgency.java
@@ -1,7 +1,7 @@
-package eiderfork.core;
+package eiderfork.core.state;
 
 /** In what order calls to the state service go out when not all can. */
-enum Urgency {
+public enum Urgency {
   /** Grants and renewals of leases, elections, and what holds leases. */
   LEASE,
   /** Cancellations by users. */
--- a/src/test/java/eiderfork/core/AnswerTest.java
+++ b/src/test/java/eiderfork/core/AnswerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import eiderfork.core.state.ReadBarrier;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.JobStatus.Stance;
--- a/src/test/java/eiderfork/core/BudgetTest.java
+++ b/src/test/java/eiderfork/core/BudgetTest.java
@@ -6,12 +6,16 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.config.Settings;
+import eiderfork.core.context.Context;
 import eiderfork.core.limits.Backoff;
 import eiderfork.core.limits.TokenBucket;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Input;
 import eiderfork.core.message.StateOp;
 import eiderfork.core.message.UserAnswer;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Term;
+import eiderfork.core.state.Urgency;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Priority;
--- a/src/test/java/eiderfork/core/CancellationsTest.java
+++ b/src/test/java/eiderfork/core/CancellationsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import eiderfork.core.context.Context;
 import eiderfork.core.message.CancellationNews;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/eiderfork/core/ClusterVersionTest.java
+++ b/src/test/java/eiderfork/core/ClusterVersionTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import eiderfork.core.context.Context;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Term;
 import eiderfork.model.Record;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/eiderfork/core/ControllerTest.java
+++ b/src/test/java/eiderfork/core/ControllerTest.java
@@ -4,11 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Input;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Term;
 import eiderfork.model.Machine;
 import eiderfork.model.Record;
 import eiderfork.model.Report;
--- a/src/test/java/eiderfork/core/ForwardsTest.java
+++ b/src/test/java/eiderfork/core/ForwardsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.UserAnswer;
--- a/src/test/java/eiderfork/core/JobArchiveMoveTest.java
+++ b/src/test/java/eiderfork/core/JobArchiveMoveTest.java
@@ -6,10 +6,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Term;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.JobStatus;
--- a/src/test/java/eiderfork/core/JobTableTest.java
+++ b/src/test/java/eiderfork/core/JobTableTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
+import eiderfork.core.state.StateGate;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Machine;
--- a/src/test/java/eiderfork/core/LargeCellTest.java
+++ b/src/test/java/eiderfork/core/LargeCellTest.java
@@ -6,8 +6,11 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.config.Settings;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Reply;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Term;
 import eiderfork.model.HostEntry;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
--- a/src/test/java/eiderfork/core/ReadBarrierTest.java
+++ b/src/test/java/eiderfork/core/ReadBarrierTest.java
@@ -4,10 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
+import eiderfork.core.state.ReadBarrier;
+import eiderfork.core.state.StateGate;
 import eiderfork.model.Record;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/eiderfork/core/RoomIndexTest.java
+++ b/src/test/java/eiderfork/core/RoomIndexTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
+import eiderfork.core.state.StateGate;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Machine;
