--- a/src/main/java/eiderfork/config/OperatorFile.java
+++ b/src/main/java/eiderfork/config/OperatorFile.java
@@ -22,7 +22,11 @@
           "idle-share",
           "spot",
           "ended-jobs-stay-s",
-          "most-ended-jobs");
+          "most-ended-jobs",
+          "standbys",
+          "trace-file");
+
+  private static final int MOST_STANDBYS = 2;
 
   private final String file;
   private final Map<?, ?> map;
@@ -72,7 +76,9 @@
         it.number("idle-share", d.idleShare(), 0, 100),
         it.flag("spot", d.spot()),
         it.number("ended-jobs-stay-s", d.endedJobsStayS(), 60, 604_800),
-        (int) it.number("most-ended-jobs", d.mostEndedJobs(), 0, 1_000_000));
+        (int) it.number("most-ended-jobs", d.mostEndedJobs(), 0, 1_000_000),
+        it.count("standbys", d.standbys(), MOST_STANDBYS),
+        it.text("trace-file"));
   }
 
   private void refuseUnknown() throws BadSettings {
@@ -101,6 +107,22 @@
     return number.doubleValue();
   }
 
+  private int count(String name, int fallback, int most) throws BadSettings {
+    double value = number(name, fallback, 0, most);
+    if (value != Math.rint(value)) {
+      throw new BadSettings(file, name, "not a whole number");
+    }
+    return (int) value;
+  }
+
+  private String text(String name) throws BadSettings {
+    Object value = get(name);
+    if (value != null && !(value instanceof String text && !text.isEmpty())) {
+      throw new BadSettings(file, name, "not a text");
+    }
+    return (String) value;
+  }
+
   private boolean flag(String name, boolean fallback) throws BadSettings {
     Object value = get(name);
     if (value == null) {
--- a/src/main/java/eiderfork/config/OperatorSettings.java
+++ b/src/main/java/eiderfork/config/OperatorSettings.java
@@ -13,6 +13,8 @@
  * @param endedJobsStayS how long jobs that are over stay in the leader's memory, in seconds, before
  *     they are archived
  * @param mostEndedJobs past this many of them the oldest are archived sooner
+ * @param standbys how many nodes keep a copy of what is committed, to take the lead over with
+ * @param traceFile where takeovers are traced, as lines of JSON; null for nowhere
  */
 public record OperatorSettings(
     double roundShare,
@@ -21,7 +23,9 @@
     double idleShare,
     boolean spot,
     double endedJobsStayS,
-    int mostEndedJobs) {
+    int mostEndedJobs,
+    int standbys,
+    String traceFile) {
   public static final OperatorSettings DEFAULTS =
-      new OperatorSettings(0.2, 0.33, 1.0, 0.5, true, 3600, 10_000);
+      new OperatorSettings(0.2, 0.33, 1.0, 0.5, true, 3600, 10_000, 0, null);
 }
--- a/src/main/java/eiderfork/core/CommittedState.java
+++ b/src/main/java/eiderfork/core/CommittedState.java
@@ -1,10 +1,13 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
 import eiderfork.core.context.Context;
 import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
+import eiderfork.core.standby.CommittedCopy;
+import eiderfork.core.standby.Standby;
 import eiderfork.core.state.JobPages;
 import eiderfork.core.state.ReadBarrier;
 import eiderfork.core.state.StateGate;
@@ -13,6 +16,8 @@
 import eiderfork.core.state.Urgency;
 import eiderfork.model.Job;
 import eiderfork.model.Record;
+import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -28,6 +33,9 @@
   private static final ImmutableList<String> READ_BEFORE_JOBS =
       ImmutableList.of(Keys.ABORT, Keys.VERSION, Keys.TYPES);
 
+  /** Jobs of a copy that are taken up before those that are over are let go of. */
+  private static final int COPY_PAGE = 1000;
+
   private static final ImmutableList<String> READ_AFTER_JOBS =
       ImmutableList.of(Keys.RENT, Keys.RETURN);
 
@@ -44,11 +52,13 @@
   private final ReadBarrier readBarrier;
   private final Cancellations cancellations;
   private final ClusterVersion version;
-  private final Runnable rebuilt;
+  private final Standby standby;
+  private final Consumer<Boolean> rebuilt;
   private final Runnable kick;
 
   /**
-   * @param rebuilt is called once memory holds all that was committed
+   * @param rebuilt is called once memory holds all that was committed, with whether a copy of it
+   *     was used
    * @param kick is called where a round has something new to place
    */
   CommittedState(
@@ -65,7 +75,8 @@
       ReadBarrier readBarrier,
       Cancellations cancellations,
       ClusterVersion version,
-      Runnable rebuilt,
+      Standby standby,
+      Consumer<Boolean> rebuilt,
       Runnable kick) {
     this.context = context;
     this.gate = gate;
@@ -80,13 +91,61 @@
     this.readBarrier = readBarrier;
     this.cancellations = cancellations;
     this.version = version;
+    this.standby = standby;
     this.rebuilt = rebuilt;
     this.kick = kick;
   }
 
-  /** Reads everything that was committed in earlier terms, and follows what comes. */
+  /**
+   * Brings memory up to what was committed in earlier terms, from a copy that is proved whole or by
+   * reading everything, and follows what comes.
+   */
   void rebuild() {
     long number = term.number();
+    CommittedCopy copy = standby.copy();
+    if (!copy.isFollowing()) {
+      readEverything(number);
+      return;
+    }
+    copy.catchUp(
+        term.leaderRevision(),
+        whole -> {
+          if (whole) {
+            takeCopy(copy, number);
+          } else {
+            readEverything(number);
+          }
+        });
+  }
+
+  /** Takes a copy up in the order in which its keys would be read. */
+  private void takeCopy(CommittedCopy copy, long number) {
+    copy.items(Keys.ABORT).forEach(this::restore);
+    cancellations.caughtUp(copy.caughtUpMs(Keys.ABORT));
+    copy.items(Keys.VERSION).forEach(this::restore);
+    copy.items(Keys.TYPES).forEach(this::restore);
+    takeJobs(copy);
+    READ_AFTER_JOBS.forEach(prefix -> copy.items(prefix).forEach(this::restore));
+    long revision = copy.revision();
+    copy.clear("this node leads");
+    allRead(number, revision, true);
+  }
+
+  /** Takes up jobs a page at a time, and keeps of those that are over what memory has room for. */
+  private void takeJobs(CommittedCopy copy) {
+    String after = "";
+    for (List<Reply.Item> jobsOfPage : Iterables.partition(copy.items(Keys.JOB), COPY_PAGE)) {
+      String last = Keys.tail(jobsOfPage.get(jobsOfPage.size() - 1).key());
+      ImmutableList<Reply.Item> allocs =
+          ImmutableList.copyOf(copy.items(Keys.ALLOC, Keys.alloc(after), Keys.alloc(last)));
+      jobsOfPage.forEach(this::restore);
+      allocs.forEach(this::restore);
+      sweep.trim(new JobPages.JobPage(ImmutableList.copyOf(jobsOfPage), allocs, last), after);
+      after = last;
+    }
+  }
+
+  private void readEverything(long number) {
     readAll(
         READ_BEFORE_JOBS,
         number,
@@ -94,7 +153,7 @@
             rebuildJobs(
                 "",
                 number,
-                () -> readAll(READ_AFTER_JOBS, number, later -> allRead(number, revision))));
+                () -> readAll(READ_AFTER_JOBS, number, later -> allRead(number, revision, false))));
   }
 
   /** Reads the keys under one prefix after the other; {@code then} takes the first revision. */
@@ -138,11 +197,11 @@
         });
   }
 
-  private void allRead(long number, long revision) {
+  private void allRead(long number, long revision, boolean copied) {
     readBarrier.start(revision);
     jobs.noteImages(fleet);
     LOG.info("rebuilt: {} jobs, {} machines", jobs.size(), fleet.machines().size());
-    rebuilt.run();
+    rebuilt.accept(copied);
     follow(Keys.JOB, number, revision);
     follow(Keys.ABORT, number, revision);
     kick.run();
@@ -191,7 +250,7 @@
               readBarrier.start(changes.revision());
             }
             follow(prefix, number, changes.revision());
-          } else if (mustReadAnew(reply)) {
+          } else if (StateGate.mustReadAnew(reply)) {
             reader.scan(prefix, "", number, this::changed, seen -> follow(prefix, number, seen));
           } else {
             reader.later(() -> follow(prefix, number, revision));
@@ -199,15 +258,6 @@
         });
   }
 
-  /**
-   * Whether a watch can't be followed on: the service has forgotten the changes, or they are more
-   * than one response may hold. Asked for again, they would be so again.
-   */
-  static boolean mustReadAnew(Reply reply) {
-    return reply instanceof Reply.Oversized
-        || reply instanceof Reply.Refused refused && refused.status() == 410;
-  }
-
   /** A job that memory can't hold truly is frozen, and the rest goes on without it. */
   private void unreadable(String key, Record.Unreadable record) {
     LOG.error("{} can't be read and is left as it is: {}", key, record.why());
--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -8,6 +8,8 @@
 import eiderfork.core.message.PeerView;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.UserAnswer;
+import eiderfork.core.standby.CommittedCopy;
+import eiderfork.core.standby.Standby;
 import eiderfork.core.state.JobPages;
 import eiderfork.core.state.ReadBarrier;
 import eiderfork.core.state.StateGate;
@@ -49,6 +51,9 @@
   private final JobArchive archive;
   private final EndedJobSweep sweep;
   private final CommittedState committed;
+  private final Standby standby;
+  private final HintSender hints;
+  private final TakeoverTimer timer;
 
   private boolean rebuilt;
   private boolean roundWanted;
@@ -106,6 +111,7 @@
     JobPages pages = new JobPages(reader);
     sweep = new EndedJobSweep(context, term, jobs, fleet, cancellations, pages);
     archive = new JobArchive(context, gate, term, version, jobs, cancellations, sweep);
+    standby = new Standby(context, term, new CommittedCopy(context, gate));
     committed =
         new CommittedState(
             context,
@@ -121,8 +127,11 @@
             readBarrier,
             cancellations,
             version,
+            standby,
             this::rebuilt,
             this::kick);
+    hints = new HintSender(context, term, gate, fleet, standby);
+    timer = new TakeoverTimer(context, term);
   }
 
   /** Takes one input at {@code nowMs} of a steady clock, and says what follows from it. */
@@ -147,6 +156,9 @@
     } else if (input instanceof Input.PeerPing it) {
       peers.heard(it.view());
       context.emit(new Effect.AnswerPing(it.ticket(), view(it.view().node())));
+    } else if (input instanceof Input.PeerHints it) {
+      standby.hints().take(it.hints(), context.nowMs);
+      context.emit(new Effect.AnswerPeerHints(it.ticket()));
     } else if (input instanceof Input.HealthCheck it) {
       health(it.ticket());
     }
@@ -155,7 +167,10 @@
     }
     gate.pump();
     round();
-    return context.takeEffects();
+    List<Effect> effects = context.takeEffects();
+    timer.sent(effects);
+    effects.addAll(context.takeEffects());
+    return effects;
   }
 
   /** How often the controller wants a tick. */
@@ -173,6 +188,16 @@
     return placer.examined();
   }
 
+  /** Whether the lead of now was taken over with a copy of what is committed. */
+  boolean ledFromCopy() {
+    return timer.isFromCopy();
+  }
+
+  /** Whether this node keeps a copy by which it could take the lead over. */
+  boolean standsBy() {
+    return standby.copy().isFollowing();
+  }
+
   /** How many jobs this node holds, over or not. */
   int jobsInMemory() {
     return jobs.size();
@@ -235,6 +260,7 @@
     leaseProxy.retry();
     leaseProxy.tick();
     reader.tick();
+    standby.tick();
     if (term.leading()) {
       workers.tick();
       if (rebuilt && term.sure()) {
@@ -242,6 +268,7 @@
         cloud.tick();
         archive.tick();
         sweep.tick();
+        hints.tick();
         if (context.nowMs >= nextPlanMs && !fleet.types().isEmpty()) {
           nextPlanMs = context.nowMs + context.stepMs();
           planner.plan();
@@ -347,6 +374,8 @@
   public void elected() {
     leaseProxy.stop();
     hearing.elected();
+    hints.elected();
+    timer.elected();
     forget();
     workers.elected();
     committed.rebuild();
@@ -355,6 +384,8 @@
   @Override
   public void deposed() {
     forget();
+    standby.deposed();
+    timer.deposed();
   }
 
   private void forget() {
@@ -372,8 +403,11 @@
     planner.clear();
   }
 
-  private void rebuilt() {
+  private void rebuilt(boolean copied) {
     rebuilt = true;
+    hints.apply(standby.hints());
+    standby.hints().clear();
+    timer.hasState(copied);
     users.ready(true);
     workers.rebuilt();
     fleet.machines().forEach(workers::reconcile);
--- a/src/main/java/eiderfork/core/Fleet.java
+++ b/src/main/java/eiderfork/core/Fleet.java
@@ -69,6 +69,17 @@
     return sets;
   }
 
+  /** The machine known next after the one with this number, or the first; there has to be one. */
+  MachineEntry after(int number) {
+    for (int i = number + 1; i <= lastNumber; i++) {
+      MachineEntry m = byNumber.get(i);
+      if (m != null) {
+        return m;
+      }
+    }
+    return machines.values().iterator().next();
+  }
+
   /** The machine with this number. */
   MachineEntry get(int number) {
     return byNumber.get(number);
--- a/src/main/java/eiderfork/core/LeaseProxy.java
+++ b/src/main/java/eiderfork/core/LeaseProxy.java
@@ -323,7 +323,7 @@
             changes.items().forEach(this::cancelled);
             cancellations.caughtUp(askedMs);
             followCancellations(of, changes.revision());
-          } else if (CommittedState.mustReadAnew(reply)) {
+          } else if (StateGate.mustReadAnew(reply)) {
             readCancellations(of, "", context.nowMs, -1);
           } else {
             later(of, () -> followCancellations(of, revision));
--- a/src/main/java/eiderfork/core/message/Effect.java
+++ b/src/main/java/eiderfork/core/message/Effect.java
@@ -59,6 +59,18 @@
   record AskPeerQueries(long call, String node, ImmutableList<String> uids, long timeoutMs)
       implements Call {}
 
+  /** Tells a standby what is not committed. */
+  record AskPeerHints(long call, String node, HintMessage hints, long timeoutMs) implements Call {}
+
+  /** A peer's hints were taken. */
+  record AnswerPeerHints(long ticket) implements Answer {}
+
+  /** This node has taken the lead over; what that took is traced. */
+  record TookOver(long term, ImmutableList<Phase> phases) implements Effect {}
+
+  /** A part of a takeover, from one moment of the steady time to another. */
+  record Phase(String name, long fromMs, long toMs) {}
+
   /** Answers queries that a peer passed on, in their order. */
   record AnswerPeerQueries(long ticket, ImmutableList<UserAnswer> answers) implements Answer {}
 
--- /dev/null
+++ b/src/main/java/eiderfork/core/message/HintMessage.java
@@ -0,0 +1,11 @@
+package eiderfork.core.message;
+
+import com.google.common.collect.ImmutableList;
+
+/**
+ * One message of the stream of hints from a leader to its standby.
+ *
+ * @param term the term of the leader
+ * @param number counts up with each message of a term
+ */
+public record HintMessage(long term, long number, ImmutableList<MachineHint> machines) {}
--- a/src/main/java/eiderfork/core/message/Input.java
+++ b/src/main/java/eiderfork/core/message/Input.java
@@ -33,6 +33,9 @@
   /** A peer tells its view and asks for this node's. */
   record PeerPing(long ticket, PeerView view) implements Input {}
 
+  /** The leader tells this node, which may stand by for it, what is not committed. */
+  record PeerHints(long ticket, HintMessage hints) implements Input {}
+
   /** The reply to a call that an effect asked for. */
   record Answered(long call, Reply reply) implements Input {}
 }
--- a/src/main/java/eiderfork/core/message/Reply.java
+++ b/src/main/java/eiderfork/core/message/Reply.java
@@ -69,6 +69,9 @@
   /** A peer's view, in answer to a ping. */
   record PeerPong(PeerView view) implements Reply {}
 
+  /** A standby has taken hints. */
+  record PeerTookHints() implements Reply {}
+
   /** A peer's answer to a request that was passed on to it. */
   record PeerAnswer(UserAnswer answer) implements Reply {}
 
--- /dev/null
+++ b/src/main/java/eiderfork/core/standby/CommittedCopy.java
@@ -0,0 +1,312 @@
+package eiderfork.core.standby;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
+import eiderfork.core.message.Keys;
+import eiderfork.core.message.Reply;
+import eiderfork.core.message.StateOp;
+import eiderfork.core.state.StateGate;
+import eiderfork.core.state.Urgency;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A copy of what leaders commit: the keys that a new leader reads, read once and then followed with
+ * watches, each change taken in order and with its revision.
+ *
+ * <p>It is proved before it is used. A new leader whose leader key was written as revision L brings
+ * each range to L or later by one unbroken sequence of answers since the first read. What an older
+ * leader writes is conditional on its own leader key, so that nothing of it can follow L; what
+ * peers may write at any time, submissions and cancellations, is followed as by any leader. Where
+ * anything is missing from the sequence the copy is dropped, and everything is read instead.
+ */
+public final class CommittedCopy {
+  private static final Logger LOG = LoggerFactory.getLogger(CommittedCopy.class);
+
+  /** In the order in which a new leader takes them up. */
+  private static final ImmutableList<String> PREFIXES =
+      ImmutableList.of(
+          Keys.ABORT, Keys.VERSION, Keys.TYPES, Keys.JOB, Keys.ALLOC, Keys.RENT, Keys.RETURN);
+
+  /** The share of the state service's rate of requests that the watches may take. */
+  private static final double REQUEST_SHARE = 0.05;
+
+  /** The pause between a watch's answer and the next watch, in steps, where the rate allows it. */
+  private static final double PAUSE_STEPS = 0.25;
+
+  /** How long a watch waits for a change, in steps. */
+  private static final int WATCH_STEPS = 2;
+
+  /** The share of the process's memory that the copy may take. */
+  private static final double MEMORY_SHARE = 0.25;
+
+  /** How long a dropped copy is not read anew, in leases of workers. */
+  private static final int REST_LEASES = 1;
+
+  private static final double MB = 1024 * 1024;
+
+  private enum Phase {
+    NONE,
+    READING,
+    FOLLOWING,
+    /** This node leads and asks for what is missing. */
+    CATCHING_UP
+  }
+
+  private record Later(long atMs, Runnable what) {}
+
+  private final Context context;
+  private final StateGate gate;
+  private final Map<String, CopiedRange> ranges = new LinkedHashMap<>();
+  private final List<Later> later = new ArrayList<>();
+  private Phase phase = Phase.NONE;
+  private long generation;
+  private long notBeforeMs;
+  private String droppedWhy = "never read";
+
+  /** Makes a copy that holds nothing. */
+  public CommittedCopy(Context context, StateGate gate) {
+    this.context = context;
+    this.gate = gate;
+  }
+
+  /** Whether the copy is followed, so that a new leader may bring it up to its own revision. */
+  public boolean isFollowing() {
+    return phase == Phase.FOLLOWING;
+  }
+
+  /** Begins to read where nothing is held and the rest after a failure is over. */
+  public void beginIfDue() {
+    if (phase == Phase.NONE && context.nowMs >= notBeforeMs) {
+      LOG.info("a copy of what is committed is read");
+      generation++;
+      phase = Phase.READING;
+      PREFIXES.forEach(prefix -> ranges.put(prefix, new CopiedRange(prefix)));
+      read(0, "", generation);
+    }
+  }
+
+  /** Lets go of everything, for want of a use for it. */
+  public void clear(String why) {
+    if (phase != Phase.NONE) {
+      LOG.info("the copy is dropped: {}", why);
+    }
+    droppedWhy = why;
+    generation++;
+    phase = Phase.NONE;
+    ranges.clear();
+    later.clear();
+  }
+
+  /** The copy can't be proved right; it is read anew after a while. */
+  private void broken(String why) {
+    clear(why);
+    notBeforeMs = context.nowMs + REST_LEASES * context.leaseMs();
+  }
+
+  /** Does what its time has come for. */
+  public void tick() {
+    if (later.isEmpty()) {
+      return;
+    }
+    List<Later> due = new ArrayList<>();
+    later.removeIf(it -> it.atMs <= context.nowMs && due.add(it));
+    due.forEach(it -> it.what.run());
+  }
+
+  private void later(long of, Runnable what) {
+    later.add(
+        new Later(
+            context.nowMs + pauseMs(),
+            () -> {
+              if (of == generation) {
+                what.run();
+              }
+            }));
+  }
+
+  private long pauseMs() {
+    double rps = context.settings.stateLimits().rps() * REQUEST_SHARE;
+    double leastS = PREFIXES.size() / rps;
+    return (long) Math.max(context.stepMs() * PAUSE_STEPS, 1000 * leastS);
+  }
+
+  // Reading.
+
+  private void read(int at, String after, long of) {
+    CopiedRange range = ranges.get(PREFIXES.get(at));
+    long askedMs = context.nowMs;
+    gate.send(
+        new StateOp.Scan(range.prefix(), after),
+        Urgency.READ,
+        reply -> {
+          if (of != generation) {
+            return;
+          }
+          if (!(reply instanceof Reply.Page page)) {
+            later(of, () -> read(at, after, of));
+            return;
+          }
+          try {
+            range.take(page, askedMs);
+            checkMemory();
+          } catch (BrokenCopy e) {
+            broken(e.getMessage());
+            return;
+          }
+          if (page.more()) {
+            String last = page.items().get(page.items().size() - 1).key();
+            read(at, last, of);
+          } else if (at + 1 < PREFIXES.size()) {
+            read(at + 1, "", of);
+          } else {
+            phase = Phase.FOLLOWING;
+            ranges.values().forEach(each -> follow(each, of));
+          }
+        });
+  }
+
+  // Following.
+
+  private void follow(CopiedRange range, long of) {
+    long askedMs = context.nowMs;
+    long after = range.revision();
+    gate.send(
+        new StateOp.Watch(range.prefix(), after, WATCH_STEPS * context.stepMs()),
+        Urgency.READ,
+        reply -> {
+          if (of != generation) {
+            return;
+          }
+          try {
+            if (reply instanceof Reply.Changes changes) {
+              takeChanges(range, changes, after, askedMs);
+            } else {
+              checkKept(range, reply);
+            }
+          } catch (BrokenCopy e) {
+            broken(e.getMessage());
+            return;
+          }
+          later(of, () -> follow(range, of));
+        });
+  }
+
+  private void takeChanges(CopiedRange range, Reply.Changes changes, long after, long askedMs)
+      throws BrokenCopy {
+    if (range.prefix().equals(Keys.VERSION) && !changes.items().isEmpty()) {
+      // Records of a form that came with it may be in what was read before.
+      throw new BrokenCopy("the cluster's version has moved");
+    }
+    range.take(changes, after, askedMs);
+    checkMemory();
+  }
+
+  private static void checkKept(CopiedRange range, Reply reply) throws BrokenCopy {
+    if (StateGate.mustReadAnew(reply)) {
+      throw new BrokenCopy("changes of " + range.prefix() + " are not to be had any more");
+    }
+  }
+
+  private void checkMemory() throws BrokenCopy {
+    double mostMb = context.settings.controller().memoryMb() * MEMORY_SHARE;
+    if (memoryMb() > mostMb) {
+      throw new BrokenCopy("it takes more than " + Math.round(mostMb) + " MB");
+    }
+  }
+
+  // Using.
+
+  /**
+   * Brings the copy to this revision or a later one; only a leader does whose key was written as
+   * that revision.
+   *
+   * @param then takes whether the copy holds all that was committed up to there
+   */
+  public void catchUp(long atLeast, Consumer<Boolean> then) {
+    generation++;
+    later.clear();
+    phase = Phase.CATCHING_UP;
+    int[] open = {ranges.size()};
+    for (CopiedRange range : ranges.values()) {
+      catchUp(range, atLeast, generation, open, then);
+    }
+  }
+
+  private void catchUp(
+      CopiedRange range, long atLeast, long of, int[] open, Consumer<Boolean> then) {
+    long askedMs = context.nowMs;
+    long after = range.revision();
+    gate.send(
+        new StateOp.Watch(range.prefix(), after, 0),
+        Urgency.START,
+        reply -> {
+          if (of != generation) {
+            return;
+          }
+          try {
+            if (reply instanceof Reply.Changes changes) {
+              takeChanges(range, changes, after, askedMs);
+            } else {
+              checkKept(range, reply);
+            }
+          } catch (BrokenCopy e) {
+            broken(e.getMessage());
+            then.accept(false);
+            return;
+          }
+          if (!(reply instanceof Reply.Changes) || range.revision() < atLeast) {
+            later(of, () -> catchUp(range, atLeast, of, open, then));
+          } else if (--open[0] == 0) {
+            then.accept(true);
+          }
+        });
+  }
+
+  /** The copied items under one of the prefixes, in the order of their keys. */
+  public Collection<Reply.Item> items(String prefix) {
+    return ranges.get(prefix).items();
+  }
+
+  /** Those of them behind one key, up to another one that is included; null for the last. */
+  public Collection<Reply.Item> items(String prefix, String after, String last) {
+    return ranges.get(prefix).items(after, last);
+  }
+
+  /** A moment of which all changes under a prefix have been taken. */
+  public long caughtUpMs(String prefix) {
+    return ranges.get(prefix).caughtUpMs();
+  }
+
+  /** Every change of every range up to this revision has been taken. */
+  public long revision() {
+    return ranges.values().stream().mapToLong(CopiedRange::revision).min().orElse(0);
+  }
+
+  /** What the copy takes of memory, as an estimate on the high side. */
+  public double memoryMb() {
+    return ranges.values().stream().mapToLong(CopiedRange::bytes).sum() / MB;
+  }
+
+  /** How the copy stands, for an operator. */
+  public String describe() {
+    if (phase != Phase.FOLLOWING) {
+      return phase == Phase.NONE ? "none, " + droppedWhy : "being read";
+    }
+    int keys = ranges.values().stream().mapToInt(CopiedRange::size).sum();
+    long oldestMs = ranges.values().stream().mapToLong(CopiedRange::caughtUpMs).min().orElse(0);
+    return String.format(
+        java.util.Locale.ROOT,
+        "%d keys at revision %d, %.1f s behind, %.1f MB",
+        keys,
+        revision(),
+        (context.nowMs - oldestMs) / 1000.0,
+        memoryMb());
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/core/standby/CopiedRange.java
@@ -0,0 +1,121 @@
+package eiderfork.core.standby;
+
+import eiderfork.core.message.Reply;
+import eiderfork.model.Record;
+import java.util.Collection;
+import java.util.TreeMap;
+
+/** The keys under one prefix as of a revision: read once, then kept by the answers of watches. */
+final class CopiedRange {
+  private static final long NOT_READ = -1;
+
+  private final String prefix;
+  private final TreeMap<String, Reply.Item> items = new TreeMap<>();
+  private long revision = NOT_READ;
+  private long newestPage = NOT_READ;
+  private long caughtUpMs;
+  private long bytes;
+
+  CopiedRange(String prefix) {
+    this.prefix = prefix;
+  }
+
+  String prefix() {
+    return prefix;
+  }
+
+  /** Every change up to this revision has been taken. */
+  long revision() {
+    return revision;
+  }
+
+  /** A moment of which all changes have been taken. */
+  long caughtUpMs() {
+    return caughtUpMs;
+  }
+
+  /** What the copy of these keys takes. */
+  long bytes() {
+    return bytes;
+  }
+
+  int size() {
+    return items.size();
+  }
+
+  /** The keys' items in order. */
+  Collection<Reply.Item> items() {
+    return items.values();
+  }
+
+  /** The items behind one key, up to another one that is included; null for the last. */
+  Collection<Reply.Item> items(String after, String last) {
+    return last == null
+        ? items.tailMap(after, false).values()
+        : items.subMap(after, false, last, true).values();
+  }
+
+  /**
+   * Takes a page of the first read. What changes while pages are read comes again with the watch
+   * that follows on the first page.
+   *
+   * @throws BrokenCopy where it holds what can't be read
+   */
+  void take(Reply.Page page, long askedMs) throws BrokenCopy {
+    if (revision == NOT_READ) {
+      revision = page.revision();
+      caughtUpMs = askedMs;
+    }
+    newestPage = Math.max(newestPage, page.revision());
+    for (Reply.Item item : page.items()) {
+      put(item);
+    }
+  }
+
+  /**
+   * Takes the answer of a watch for what came after a revision.
+   *
+   * @throws BrokenCopy where the answer does not follow on what was taken
+   */
+  void take(Reply.Changes changes, long after, long askedMs) throws BrokenCopy {
+    // An answer from before a page was read would set back what the page had.
+    if (after != revision || changes.revision() < Math.max(after, newestPage)) {
+      throw new BrokenCopy("an answer for " + prefix + " does not follow on the one before");
+    }
+    long last = after;
+    for (Reply.Item change : changes.items()) {
+      boolean follows = change.version() > after && change.version() >= last;
+      if (!follows || change.version() > changes.revision()) {
+        throw new BrokenCopy("changes of " + prefix + " are out of order");
+      }
+      last = change.version();
+      apply(change);
+    }
+    revision = changes.revision();
+    caughtUpMs = askedMs;
+  }
+
+  private void apply(Reply.Item change) throws BrokenCopy {
+    if (change.record() == null) {
+      remove(change.key());
+    } else {
+      put(change);
+    }
+  }
+
+  private void put(Reply.Item item) throws BrokenCopy {
+    if (item.record() instanceof Record.Unreadable it) {
+      throw new BrokenCopy(item.key() + " can't be read: " + it.why());
+    }
+    remove(item.key());
+    items.put(item.key(), item);
+    bytes += RecordWeight.bytes(item);
+  }
+
+  private void remove(String key) {
+    Reply.Item removed = items.remove(key);
+    if (removed != null) {
+      bytes -= RecordWeight.bytes(removed);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/core/standby/RecordWeight.java
@@ -0,0 +1,44 @@
+package eiderfork.core.standby;
+
+import eiderfork.core.message.Reply;
+import eiderfork.model.Job;
+import eiderfork.model.Record;
+
+/** What a copied record takes of memory, as an estimate on the high side. */
+final class RecordWeight {
+  /** The entry of a map, the item, and the key's text without its characters. */
+  private static final int ITEM_BYTES = 160;
+
+  private static final int JOB_BYTES = 360;
+  private static final int SPAN_BYTES = 96;
+  private static final int RANGE_BYTES = 24;
+  private static final int NAME_BYTES = 64;
+  private static final int OTHER_BYTES = 128;
+
+  private RecordWeight() {}
+
+  /** The bytes that an item takes. */
+  static long bytes(Reply.Item item) {
+    return ITEM_BYTES + item.key().length() + bytes(item.record());
+  }
+
+  private static long bytes(Record record) {
+    if (record instanceof Record.JobSpec it) {
+      return JOB_BYTES + texts(it.job());
+    }
+    if (record instanceof Record.Alloc it) {
+      return OTHER_BYTES
+          + (long) SPAN_BYTES * it.reserved().size()
+          + (long) RANGE_BYTES * it.finished().size();
+    }
+    if (record instanceof Record.Return it) {
+      return OTHER_BYTES + (long) NAME_BYTES * it.machines().size();
+    }
+    return OTHER_BYTES;
+  }
+
+  private static int texts(Job job) {
+    int types = job.types() == null ? 0 : NAME_BYTES * job.types().size();
+    return job.uid().length() + job.jobClass().length() + job.team().length() + types;
+  }
+}
--- /dev/null
+++ b/src/main/java/eiderfork/core/standby/StandbyOrder.java
@@ -0,0 +1,40 @@
+package eiderfork.core.standby;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.config.Settings;
+import eiderfork.core.state.NodeOrder;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Which nodes stand by for a leader: the ones behind it in the order of nodes, those of other zones
+ * first, so that a zone that fails does not take both. Every node finds the same from its settings.
+ */
+public final class StandbyOrder {
+  private StandbyOrder() {}
+
+  /** The nodes that stand by for this leader, the first one in front. */
+  public static ImmutableList<String> of(Settings settings, String leader) {
+    List<String> nodes = NodeOrder.of(settings).nodes();
+    int at = nodes.indexOf(leader);
+    if (at < 0) {
+      return ImmutableList.of();
+    }
+    List<String> otherZones = new ArrayList<>();
+    List<String> sameZone = new ArrayList<>();
+    for (int i = 1; i < nodes.size(); i++) {
+      String node = nodes.get((at + i) % nodes.size());
+      boolean other = !zone(settings, node).equals(zone(settings, leader));
+      (other ? otherZones : sameZone).add(node);
+    }
+    otherZones.addAll(sameZone);
+    int count = Math.min(settings.operator().standbys(), otherZones.size());
+    return ImmutableList.copyOf(otherZones.subList(0, count));
+  }
+
+  private static String zone(Settings settings, String node) {
+    return node.equals(settings.node())
+        ? settings.zone()
+        : settings.peerZones().getOrDefault(node, "");
+  }
+}
--- a/src/main/java/eiderfork/core/state/StateGate.java
+++ b/src/main/java/eiderfork/core/state/StateGate.java
@@ -82,6 +82,15 @@
     return limits().valueKb();
   }
 
+  /**
+   * Whether a watch can't be followed on: the service has forgotten the changes, or they are more
+   * than one response may hold. Asked for again, they would be so again.
+   */
+  public static boolean mustReadAnew(Reply reply) {
+    return reply instanceof Reply.Oversized
+        || reply instanceof Reply.Refused refused && refused.status() == 410;
+  }
+
   /** Sends an operation once its turn has come, and has {@code then} take its reply. */
   public void send(StateOp op, Urgency urgency, Consumer<Reply> then) {
     int cost = op instanceof StateOp.Transact t ? t.changes().size() : 0;
--- a/src/main/java/eiderfork/core/state/Term.java
+++ b/src/main/java/eiderfork/core/state/Term.java
@@ -7,6 +7,7 @@
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
 import eiderfork.model.Record;
+import java.util.function.UnaryOperator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -75,9 +76,14 @@
   /** Whether other nodes should rather lead, see {@link NodeOrder}. */
   private final boolean yields;
 
+  /** Decides on that anew, given what the order of nodes says. */
+  private UnaryOperator<Boolean> yieldRule = byOrder -> byOrder;
+
   /** Since when the leader key has been seen to be missing; -1 while it stands. */
   private long vacantSinceMs = -1;
 
+  private long vacantSeenMs = -1;
+
   /** Makes a term that this node follows in; {@code listener} is told of changes. */
   public Term(Context context, StateGate gate, Listener listener) {
     this.context = context;
@@ -138,6 +144,21 @@
     }
   }
 
+  /** Has this rule decide whether a vacant lead is left to others for a while. */
+  public void yieldWhere(UnaryOperator<Boolean> rule) {
+    yieldRule = rule;
+  }
+
+  /** The revision as which this leader's key was written. */
+  public long leaderRevision() {
+    return leaderVersion;
+  }
+
+  /** When the lead that this node holds was first seen to be vacant; -1 where it was not. */
+  public long vacantSeenMs() {
+    return vacantSeenMs;
+  }
+
   /** A higher term was seen somewhere: this node's is over. */
   public void outdated(long seen) {
     if (leading() && seen > term) {
@@ -245,7 +266,8 @@
     if (vacantSinceMs < 0) {
       vacantSinceMs = context.nowMs;
     }
-    return yields && context.nowMs - vacantSinceMs < YIELD_STEPS * context.stepMs();
+    return yieldRule.apply(yields)
+        && context.nowMs - vacantSinceMs < YIELD_STEPS * context.stepMs();
   }
 
   /** Waits for the leader key to change. */
@@ -265,6 +287,7 @@
           if (reply instanceof Reply.Changes changes) {
             if (!changes.items().isEmpty()) {
               leader = null;
+              vacantSeenMs = context.nowMs;
             }
           } else {
             later();
--- a/src/main/java/eiderfork/net/Node.java
+++ b/src/main/java/eiderfork/net/Node.java
@@ -27,6 +27,7 @@
 public final class Node implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(Node.class);
 
+  private static final byte[] NOTHING = new byte[0];
   private static final long NANOS_PER_MS = 1_000_000;
 
   /** How often it is told what the event loop's time goes into. */
@@ -39,6 +40,7 @@
   private final HttpClient client;
   private final Controller controller;
   private final InputMeter meter = new InputMeter();
+  private final TakeoverTracer tracer;
   private final Long2ObjectOpenHashMap<HttpServer.Exchange> open = new Long2ObjectOpenHashMap<>();
   private long tickets;
 
@@ -50,6 +52,7 @@
   public Node(Settings settings) {
     this.settings = settings;
     client = new HttpClient(loop, settings.controller().outbound());
+    tracer = TakeoverTracer.of(settings.node(), settings.operator().traceFile());
     controller = new Controller(settings, ThreadLocalRandom.current(), nowMs());
   }
 
@@ -84,6 +87,7 @@
 
   @Override
   public void close() {
+    tracer.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
@@ -177,6 +181,9 @@
       } else if (exchange.path.equals(PeerWire.QUERIES)) {
         var uids = PeerWire.queries(exchange.body);
         take(new Input.PeerQueries(ticket(exchange), uids));
+      } else if (exchange.path.equals(PeerWire.HINTS)) {
+        var hints = PeerWire.hints(exchange.body);
+        take(new Input.PeerHints(ticket(exchange), hints));
       } else if (exchange.path.equals(PeerWire.REQUEST)) {
         Input request = PeerWire.request(exchange.body);
         passedOn.put(++tickets, exchange);
@@ -237,6 +244,11 @@
           PeerWire.QUERIES,
           body,
           Node::peerAnsweredAll);
+    } else if (effect instanceof Effect.AskPeerHints it) {
+      byte[] body = PeerWire.hints(it.hints());
+      ask(it, settings.peers().get(it.node()), "POST", PeerWire.HINTS, body, Node::peerTookHints);
+    } else if (effect instanceof Effect.TookOver it) {
+      tracer.trace(it);
     } else {
       answer(effect);
     }
@@ -254,6 +266,8 @@
       }
     } else if (effect instanceof Effect.AnswerPeerQueries it) {
       answerPeer(open.remove(it.ticket()), PeerWire.answers(it.answers()));
+    } else if (effect instanceof Effect.AnswerPeerHints it) {
+      answerPeer(open.remove(it.ticket()), NOTHING);
     } else if (effect instanceof Effect.AnswerHealth it) {
       byte[] body = UserWire.health(it.healthy(), it.why());
       open.remove(it.ticket()).answer(it.healthy() ? 200 : 503, body, 0);
@@ -322,6 +336,10 @@
     return status == 200 ? PeerWire.answer(body) : new Reply.Refused(status);
   }
 
+  private static Reply peerTookHints(int status, byte[] body) {
+    return status == 200 ? new Reply.PeerTookHints() : new Reply.Refused(status);
+  }
+
   private static Reply peerAnsweredAll(int status, byte[] body) throws BadMessage {
     return status == 200 ? PeerWire.answers(body) : new Reply.Refused(status);
   }
--- /dev/null
+++ b/src/main/java/eiderfork/net/SpanTracer.java
@@ -0,0 +1,59 @@
+package eiderfork.net;
+
+import eiderfork.core.message.Effect;
+import io.opentelemetry.api.common.AttributeKey;
+import io.opentelemetry.api.common.Attributes;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.Tracer;
+import io.opentelemetry.context.Context;
+import io.opentelemetry.sdk.resources.Resource;
+import io.opentelemetry.sdk.trace.SdkTracerProvider;
+import io.opentelemetry.sdk.trace.export.SimpleSpanProcessor;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Traces takeovers as spans: one for the whole, and one below it for each phase. */
+final class SpanTracer implements TakeoverTracer {
+  private static final String NAME = "eiderfork";
+
+  private final SdkTracerProvider provider;
+  private final Tracer tracer;
+
+  SpanTracer(String node, String file) {
+    provider =
+        SdkTracerProvider.builder()
+            .setResource(Resource.create(Attributes.of(AttributeKey.stringKey("host.name"), node)))
+            .addSpanProcessor(SimpleSpanProcessor.create(new JsonLinesExporter(Path.of(file))))
+            .build();
+    tracer = provider.get(NAME);
+  }
+
+  @Override
+  public void trace(Effect.TookOver takeover) {
+    List<Effect.Phase> phases = takeover.phases();
+    // The steady time counts from anywhere; spans want the time of day.
+    long offsetMs = System.currentTimeMillis() - System.nanoTime() / 1_000_000;
+    Span whole =
+        tracer
+            .spanBuilder("takeover")
+            .setNoParent()
+            .setAttribute("term", takeover.term())
+            .setStartTimestamp(offsetMs + phases.get(0).fromMs(), TimeUnit.MILLISECONDS)
+            .startSpan();
+    for (Effect.Phase phase : phases) {
+      tracer
+          .spanBuilder(phase.name())
+          .setParent(Context.root().with(whole))
+          .setStartTimestamp(offsetMs + phase.fromMs(), TimeUnit.MILLISECONDS)
+          .startSpan()
+          .end(offsetMs + phase.toMs(), TimeUnit.MILLISECONDS);
+    }
+    whole.end(offsetMs + phases.get(phases.size() - 1).toMs(), TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    provider.close();
+  }
+}
--- a/src/main/java/eiderfork/wire/PeerWire.java
+++ b/src/main/java/eiderfork/wire/PeerWire.java
@@ -2,7 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.core.message.CancellationNews;
+import eiderfork.core.message.HintMessage;
 import eiderfork.core.message.Input;
+import eiderfork.core.message.MachineHint;
 import eiderfork.core.message.PeerView;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.UserAnswer;
@@ -24,6 +26,9 @@
   /** Where several queries are passed on together. */
   public static final String QUERIES = "/peer/queries";
 
+  /** Where a leader tells a standby what is not committed. */
+  public static final String HINTS = "/peer/hints";
+
   private static final String SCHEMAS = "peer.avpr.json";
   private static final Schema UNION = AvroBytes.schema(SCHEMAS);
   private static final Schema VIEW = UNION.getTypes().get(0);
@@ -37,6 +42,12 @@
   private static final Schema QUESTIONS = UNION.getTypes().get(3);
   private static final Schema ANSWERS = UNION.getTypes().get(4);
 
+  private static final Schema HINT_MESSAGE = UNION.getTypes().get(5);
+  private static final Schema MACHINE_HINT =
+      HINT_MESSAGE.getField("machines").schema().getElementType();
+  private static final Schema IMAGE_HINT =
+      MACHINE_HINT.getField("images").schema().getElementType();
+
   private PeerWire() {}
 
   /** A record's schema, and what it was before each field that came later and has a default. */
@@ -248,6 +259,58 @@
         error == null ? null : error.toString());
   }
 
+  /** Writes hints for a standby. */
+  public static byte[] hints(HintMessage message) {
+    GenericRecord record = new GenericData.Record(HINT_MESSAGE);
+    record.put("term", message.term());
+    record.put("number", message.number());
+    record.put("machines", message.machines().stream().map(PeerWire::toRecord).toList());
+    return AvroBytes.write(record);
+  }
+
+  private static GenericRecord toRecord(MachineHint hint) {
+    GenericRecord record = new GenericData.Record(MACHINE_HINT);
+    record.put("machine", hint.machine());
+    record.put("images", hint.images().stream().map(PeerWire::toRecord).toList());
+    return record;
+  }
+
+  private static GenericRecord toRecord(MachineHint.ImageHint image) {
+    GenericRecord record = new GenericData.Record(IMAGE_HINT);
+    record.put("image", image.image());
+    record.put("gb", image.gb());
+    record.put("readyInMs", image.readyInMs());
+    return record;
+  }
+
+  /**
+   * Reads hints for a standby.
+   *
+   * @throws BadMessage where they can't be read
+   */
+  public static HintMessage hints(byte[] bytes) throws BadMessage {
+    GenericRecord record = read(HINT_MESSAGE, bytes);
+    ImmutableList.Builder<MachineHint> machines = ImmutableList.builder();
+    for (Object machine : (List<?>) record.get("machines")) {
+      machines.add(machineHint((GenericRecord) machine));
+    }
+    return new HintMessage(
+        (Long) record.get("term"), (Long) record.get("number"), machines.build());
+  }
+
+  private static MachineHint machineHint(GenericRecord record) {
+    ImmutableList.Builder<MachineHint.ImageHint> images = ImmutableList.builder();
+    for (Object each : (List<?>) record.get("images")) {
+      GenericRecord image = (GenericRecord) each;
+      images.add(
+          new MachineHint.ImageHint(
+              image.get("image").toString(),
+              (Double) image.get("gb"),
+              (Long) image.get("readyInMs")));
+    }
+    return new MachineHint(record.get("machine").toString(), images.build());
+  }
+
   /** A peer of an earlier version ends after the fields that there were then. */
   private static GenericRecord readView(byte[] bytes) throws BadMessage {
     BadMessage newest = null;
--- a/src/test/java/eiderfork/config/SettingsTest.java
+++ b/src/test/java/eiderfork/config/SettingsTest.java
@@ -176,6 +176,10 @@
         OperatorFile.parse("o.edn", "{:ended-jobs-stay-s 60 :most-ended-jobs 500}");
     assertEquals(60, archive.endedJobsStayS());
     assertEquals(500, archive.mostEndedJobs());
+    assertEquals(0, own.standbys(), "off unless set");
+    OperatorSettings standby = OperatorFile.parse("o.edn", "{:standbys 2 :trace-file \"/tmp/t\"}");
+    assertEquals(2, standby.standbys());
+    assertEquals("/tmp/t", standby.traceFile());
   }
 
   @Test
@@ -184,6 +188,9 @@
     assertThrows(BadSettings.class, () -> OperatorFile.parse("o.edn", "{:headroom -1}"));
     assertThrows(BadSettings.class, () -> OperatorFile.parse("o.edn", "{:ended-jobs-stay-s 59}"));
     assertThrows(BadSettings.class, () -> OperatorFile.parse("o.edn", "{:most-ended-jobs -1}"));
+    assertThrows(BadSettings.class, () -> OperatorFile.parse("o.edn", "{:standbys 3}"));
+    assertThrows(BadSettings.class, () -> OperatorFile.parse("o.edn", "{:standbys 0.5}"));
+    assertThrows(BadSettings.class, () -> OperatorFile.parse("o.edn", "{:trace-file 7}"));
     assertThrows(BadSettings.class, () -> OperatorFile.parse("o.edn", "[1 2]"));
     assertThrows(BadSettings.class, () -> OperatorFile.parse("o.edn", "{:spot"));
   }
--- a/src/test/java/eiderfork/core/AnswerTest.java
+++ b/src/test/java/eiderfork/core/AnswerTest.java
@@ -57,7 +57,7 @@
   @MethodSource("seeds")
   void nothingOlderIsToldWithinMomentsOfAnAnswer(long seed) {
     World world = new World(seed);
-    world.lookCloselyAtNews();
+    world.lookCloselyAtNews(true);
     List<Job> jobs = load(world, 18);
     world.run(60);
     rulesHold(world);
@@ -73,7 +73,7 @@
   @MethodSource("seeds")
   void whatAnotherNodeReadIsNotContradictedWhileTheWritersAnswerIsLost(long seed) {
     World world = new World(seed);
-    world.lookCloselyAtNews();
+    world.lookCloselyAtNews(true);
     world.at(5_000, () -> world.lostAnswers = 0.5);
     // Polls reach the state service also through nodes that can't reach the leader.
     world.at(5_000, () -> world.cut("roost-0>roost-2", 40_000));
@@ -95,7 +95,7 @@
   @MethodSource("seeds")
   void transactionsCarriedOutLateContradictNothing(long seed) {
     World world = new World(seed);
-    world.lookCloselyAtNews();
+    world.lookCloselyAtNews(true);
     world.at(5_000, () -> world.lateWrites = 0.3);
     List<Job> jobs = load(world, 18);
     world.at(20_000, () -> world.crash(world.leader() == null ? "roost-0" : world.leader(), 3000));
@@ -116,7 +116,7 @@
     for (int i = 0; i < 9; i++) {
       String at = "roost-" + i % 3;
       World world = new World(7);
-      world.lookCloselyAtNews();
+      world.lookCloselyAtNews(true);
       // The slower the state service, the wider the moment between the read and the write.
       world.stateDelayMs = 80 * (i / 3);
       world.submit(Samples.job(1, JobKind.SERVICE, 1, 1));
@@ -142,7 +142,7 @@
   @MethodSource("seeds")
   void aCancellationAtOnceIsKept(long seed) {
     World world = new World(seed);
-    world.lookCloselyAtNews();
+    world.lookCloselyAtNews(true);
     world.run(10);
     for (int i = 1; i <= 10; i++) {
       Job job = Samples.job(i, JobKind.SERVICE, 2, 1);
--- a/src/test/java/eiderfork/core/FakeNetwork.java
+++ b/src/test/java/eiderfork/core/FakeNetwork.java
@@ -131,6 +131,21 @@
                   it.node(),
                   ticket -> new Input.PeerRequest(ticket, it.request()),
                   said -> then.accept(new Reply.PeerAnswer(((Effect.AnswerUser) said).answer()))));
+    } else if (effect instanceof Effect.AskPeerHints it) {
+      call(
+          node,
+          it,
+          it.node(),
+          then -> {
+            if (world.older.contains(it.node())) {
+              then.accept(new Reply.Refused(404));
+            } else {
+              world.ask(
+                  it.node(),
+                  ticket -> new Input.PeerHints(ticket, it.hints()),
+                  said -> then.accept(new Reply.PeerTookHints()));
+            }
+          });
     } else if (effect instanceof Effect.AskPeerQueries it) {
       call(
           node,
--- a/src/test/java/eiderfork/core/FakeStateAccess.java
+++ b/src/test/java/eiderfork/core/FakeStateAccess.java
@@ -1,6 +1,7 @@
 package eiderfork.core;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.message.Keys;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
 import eiderfork.model.Record;
@@ -15,6 +16,9 @@
   /** Nodes that the state service refuses, while it serves the others. */
   final Set<String> refused = new HashSet<>();
 
+  /** Nodes whose watches bring nothing, apart from those of the leader key. */
+  final Set<String> blind = new HashSet<>();
+
   FakeStateAccess(World world) {
     this.world = world;
   }
@@ -28,7 +32,17 @@
     }
   }
 
+  private boolean isBlindTo(String node, StateOp op) {
+    return blind.contains(node)
+        && op instanceof StateOp.Watch watch
+        && watch.waitMs() > 0
+        && !watch.prefix().equals(Keys.LEADER);
+  }
+
   private void served(String node, StateOp op, Consumer<Reply> then) {
+    if (isBlindTo(node, op)) {
+      return;
+    }
     if (!refused.contains(node)) {
       world.state.execute(
           op, world.nowMs, reply -> whenServed(node, () -> then.accept(asRead(node, reply))));
--- a/src/test/java/eiderfork/core/HistoryTest.java
+++ b/src/test/java/eiderfork/core/HistoryTest.java
@@ -39,7 +39,7 @@
     world.lateReports = 0.1;
     world.reportsForNext = 0.1;
     if (seed % 2 == 0) {
-      world.lookCloselyAtNews();
+      world.lookCloselyAtNews(true);
     }
     world.commandsLateMs = seed % 3 * 700;
     for (int i = 0; i < 7; i++) {
--- a/src/test/java/eiderfork/core/JobArchiveMoveTest.java
+++ b/src/test/java/eiderfork/core/JobArchiveMoveTest.java
@@ -177,6 +177,7 @@
             cancellations,
             version,
             null,
+            null,
             null);
     committed.changed(new Reply.Item(Keys.job(DONE.uid()), null, 20));
     assertNull(jobs.get(DONE.uid()));
--- a/src/test/java/eiderfork/core/JobArchiveTest.java
+++ b/src/test/java/eiderfork/core/JobArchiveTest.java
@@ -233,7 +233,7 @@
   void nothingIsTakenBackWhateverIsLateOrLost(long seed) {
     World world = world(seed);
     Random script = new Random(seed);
-    world.lookCloselyAtNews();
+    world.lookCloselyAtNews(true);
     List<Job> jobs = new ArrayList<>();
     for (int i = 1; i <= 16; i++) {
       JobKind kind = i % 3 == 0 ? JobKind.SERVICE : JobKind.ARRAY;
--- a/src/test/java/eiderfork/core/Samples.java
+++ b/src/test/java/eiderfork/core/Samples.java
@@ -97,7 +97,26 @@
             d.idleShare(),
             d.spot(),
             seconds,
-            mostEndedJobs));
+            mostEndedJobs,
+            d.standbys(),
+            d.traceFile()));
+  }
+
+  /** The same settings, with so many nodes that stand by. */
+  static Settings withStandbys(Settings base, int standbys) {
+    OperatorSettings d = base.operator();
+    return withOperator(
+        base,
+        new OperatorSettings(
+            d.roundShare(),
+            d.stateLeaseShare(),
+            d.headroom(),
+            d.idleShare(),
+            d.spot(),
+            d.endedJobsStayS(),
+            d.mostEndedJobs(),
+            standbys,
+            d.traceFile()));
   }
 
   /** The same settings, with other aims of the users. */
--- /dev/null
+++ b/src/test/java/eiderfork/core/StandbySamples.java
@@ -0,0 +1,47 @@
+package eiderfork.core;
+
+import eiderfork.config.Settings;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Priority;
+
+/** Settings with standbys, for the tests of the packages below this one, too. */
+public final class StandbySamples {
+  private StandbySamples() {}
+
+  /** The usual settings with so many standbys. */
+  public static Settings settings(int standbys) {
+    return Samples.withStandbys(Samples.settings("roost-0"), standbys);
+  }
+
+  /** The settings of a node of a cluster of so many in two zones. */
+  public static Settings settings(String node, int nodes, int standbys) {
+    Settings like = Samples.settings("roost-0");
+    return Samples.withStandbys(
+        Samples.settings(node, like.workers(), like.stateLimits(), 0.2, 160, nodes), standbys);
+  }
+
+  /** A service with this id. */
+  public static Job job(String uid) {
+    Job like = Samples.job(1, JobKind.SERVICE, 2, 1, "blue", Priority.HIGH, false, false);
+    return new Job(
+        uid,
+        like.jobClass(),
+        like.team(),
+        like.kind(),
+        like.priority(),
+        like.tasks(),
+        like.need(),
+        null,
+        null,
+        false,
+        false,
+        false,
+        like.image(),
+        like.imageGb(),
+        0,
+        0,
+        0,
+        null);
+  }
+}
--- a/src/test/java/eiderfork/core/TakeoverTest.java
+++ b/src/test/java/eiderfork/core/TakeoverTest.java
@@ -265,7 +265,7 @@
     List<Job> jobs = services(world, 6);
     world.run(25);
     world.stateDelayMs = 400;
-    world.lookCloselyAtNews();
+    world.lookCloselyAtNews(true);
     world.at(3000, () -> world.abort(jobs.get(0).uid()));
     world.at(6000, () -> world.refuse(world.leader(), 9000));
     world.at(6000 + 300 * seed, () -> world.abort(jobs.get(1).uid()));
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -375,8 +375,8 @@
   }
 
   /** After each answer that says something new of a job, all nodes are asked within moments. */
-  void lookCloselyAtNews() {
-    users.closeLooks = true;
+  void lookCloselyAtNews(boolean value) {
+    users.closeLooks = value;
   }
 
   String leader() {
--- /dev/null
+++ b/src/test/java/eiderfork/net/TakeoverTracerTest.java
@@ -0,0 +1,68 @@
+package eiderfork.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableList;
+import eiderfork.core.message.Effect;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Takeovers as lines of JSON. */
+class TakeoverTracerTest {
+  private static final Effect.TookOver TAKEOVER =
+      new Effect.TookOver(
+          5,
+          ImmutableList.of(
+              new Effect.Phase("election", 1000, 1030), new Effect.Phase("copy", 1030, 1050)));
+
+  @TempDir private Path folder;
+
+  @Test
+  void eachPhaseIsASpanBelowTheTakeover() throws Exception {
+    Path file = folder.resolve("takeovers.jsonl");
+    try (TakeoverTracer tracer = TakeoverTracer.of("roost-1", file.toString())) {
+      tracer.trace(TAKEOVER);
+    }
+    List<JsonNode> spans = new ArrayList<>();
+    for (String line : Files.readAllLines(file)) {
+      spans.add(new ObjectMapper().readTree(line));
+    }
+    assertEquals(
+        List.of("election", "copy", "takeover"),
+        spans.stream().map(span -> span.get("name").textValue()).toList());
+    JsonNode whole = spans.get(2);
+    assertFalse(whole.has("parent_span_id"));
+    assertEquals(whole.get("span_id"), spans.get(0).get("parent_span_id"));
+    assertEquals(whole.get("trace_id"), spans.get(1).get("trace_id"));
+    assertEquals(50_000_000, lastedNanos(whole));
+    assertEquals(20_000_000, lastedNanos(spans.get(1)));
+    assertEquals(5, whole.get("attributes").get("term").asLong());
+    assertEquals("roost-1", whole.get("attributes").get("host.name").textValue());
+  }
+
+  private static long lastedNanos(JsonNode span) {
+    return span.get("end_unix_nanos").asLong() - span.get("start_unix_nanos").asLong();
+  }
+
+  @Test
+  void withoutAFileNothingIsTraced() {
+    assertSame(TakeoverTracer.NONE, TakeoverTracer.of("roost-1", null));
+  }
+
+  /** Tracing never ends a controller. */
+  @Test
+  void aFileThatCanNotBeWrittenIsNoFault() {
+    try (TakeoverTracer tracer =
+        TakeoverTracer.of("roost-1", folder.resolve("none/takeovers.jsonl").toString())) {
+      tracer.trace(TAKEOVER);
+    }
+  }
+}
--- a/src/test/java/eiderfork/wire/WireTest.java
+++ b/src/test/java/eiderfork/wire/WireTest.java
@@ -7,7 +7,9 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.core.message.CancellationNews;
+import eiderfork.core.message.HintMessage;
 import eiderfork.core.message.Input;
+import eiderfork.core.message.MachineHint;
 import eiderfork.core.message.PeerView;
 import eiderfork.core.message.Reply;
 import eiderfork.core.message.StateOp;
@@ -259,4 +261,18 @@
     assertThrows(BadMessage.class, () -> PeerWire.queries(new byte[] {9, 2, 3}));
     assertThrows(BadMessage.class, () -> PeerWire.request(new byte[] {1, 2, 3}));
   }
+
+  @Test
+  void hintsComeAsTheyWent() throws BadMessage {
+    HintMessage message =
+        new HintMessage(
+            7,
+            12,
+            ImmutableList.of(
+                new MachineHint(
+                    "n-1", ImmutableList.of(new MachineHint.ImageHint("img", 72.5, 900))),
+                new MachineHint("n-2", ImmutableList.of())));
+    assertEquals(message, PeerWire.hints(PeerWire.hints(message)));
+    assertThrows(BadMessage.class, () -> PeerWire.hints(new byte[] {1, 2, 3, 4, 5}));
+  }
 }
