A copy is read before polls are; tests of guards of the indexes that trials found unwatched

Of 13 guards of the indexes taken out one at a time six went unnoticed; five have tests now, the sixth (the session in what counts as nothing new) stands behind the others.

--- a/src/main/java/eiderfork/core/standby/CommittedCopy.java
+++ b/src/main/java/eiderfork/core/standby/CommittedCopy.java
@@ -144,7 +144,7 @@
     long askedMs = context.nowMs;
     gate.send(
         new StateOp.Scan(range.prefix(), after),
-        Urgency.READ,
+        Urgency.CLEANUP,
         reply -> {
           if (of != generation) {
             return;
@@ -179,7 +179,7 @@
     long after = range.revision();
     gate.send(
         new StateOp.Watch(range.prefix(), after, WATCH_STEPS * context.stepMs()),
-        Urgency.READ,
+        Urgency.CLEANUP,
         reply -> {
           if (of != generation) {
             return;
--- a/src/test/java/eiderfork/core/RoomIndexTest.java
+++ b/src/test/java/eiderfork/core/RoomIndexTest.java
@@ -14,6 +14,7 @@
 import eiderfork.model.Report;
 import eiderfork.model.Resources;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
@@ -133,4 +134,38 @@
     jobs.release(jobs.propose(large, 0, 2, m), false);
     assertTrue(index.failedSearches().knows(waitsForMore, "a"), "more than the machine has");
   }
+
+  /** Room that was claimed for one job is free for others once the claim is over. */
+  @Test
+  void aClaimThatLapsesContradictsWhatWasProvedBesideIt() {
+    MachineEntry m = machine("n-1", "g8", "a", false);
+    RoundRoom room = new RoundRoom(fleet, machine -> true);
+    room.begin(0);
+    JobEntry claims = jobs.add(job(new Resources(64, 8, 1), false), 1);
+    room.claim(new RoundRoom.Claim(claims, m, 1000));
+    Job waits = job(new Resources(8, 1, 1), false);
+    index.failedSearches().note(waits, "a");
+    room.begin(500);
+    assertEquals(0, room.of(m).gpus());
+    assertTrue(index.failedSearches().knows(waits, "a"));
+    room.begin(1000);
+    assertEquals(8, room.of(m).gpus());
+    assertTrue(!index.failedSearches().knows(waits, "a"));
+  }
+
+  @Test
+  void aSearchMarksMachinesWithRoomThatItMayNotUse() {
+    MachineEntry m = machine("n-1", "g8", "a", false);
+    RoundRoom room = new RoundRoom(fleet, machine -> false);
+    room.begin(0);
+    JobEntry entry = jobs.add(job(new Resources(8, 1, 1), false), 1);
+    ImageFetch imageFetch = new ImageFetch(context, fleet);
+    Deadlines deadlines = new Deadlines(context, fleet);
+    MachineScore score = new MachineScore(context, imageFetch, GpuBalance.NONE, deadlines, entry);
+    MachineSearch search =
+        new MachineSearch(room, score, random, 1000, entry, new HashMap<>(), true);
+    assertEquals(null, search.best());
+    assertTrue(m.passedOver);
+    assertTrue(index.failedSearches().knows(entry.job, "a"));
+  }
 }
--- a/src/test/java/eiderfork/core/Samples.java
+++ b/src/test/java/eiderfork/core/Samples.java
@@ -119,6 +119,27 @@
             d.traceFile()));
   }
 
+  /** The same settings, with a cloud that takes so many calls a second. */
+  static Settings withCloudRate(Settings base, double rps) {
+    return new Settings(
+        base.node(),
+        base.zone(),
+        base.listen(),
+        base.peerListen(),
+        base.peers(),
+        base.peerZones(),
+        base.cloud(),
+        base.state(),
+        base.teams(),
+        base.objectives(),
+        base.workers(),
+        base.stateLimits(),
+        base.nextStateLimits(),
+        new Settings.CloudLimits(rps, base.cloudLimits().listLagS()),
+        base.controller(),
+        base.operator());
+  }
+
   /** The same settings, with other aims of the users. */
   static Settings withObjectives(Settings base, ImmutableList<Settings.Objective> objectives) {
     return with(base, objectives, base.nextStateLimits(), base.operator());
--- a/src/test/java/eiderfork/core/WorkerControlTest.java
+++ b/src/test/java/eiderfork/core/WorkerControlTest.java
@@ -17,6 +17,7 @@
 import eiderfork.core.state.Urgency;
 import eiderfork.model.Attempt;
 import eiderfork.model.Command;
+import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Machine;
 import eiderfork.model.MachineType;
@@ -195,6 +196,59 @@
         List.of(new Command.Kill(task.id(), 0)), report(SESSION, 7, firstToken, running(task)));
   }
 
+  /** A start that was lost is sent again, though the machine says the same as before. */
+  @Test
+  void theSameTasksAreLookedAtWhileOneThatIsReservedIsMissing() {
+    Reservation task = started();
+    Reservation second = jobs.propose(job, 1, 2, machine);
+    jobs.write(job, Urgency.START);
+    answer(new Reply.Committed(6));
+    List<Command> start = List.of(new Command.Run(second.id()));
+    assertEquals(start, report(SESSION, 5, firstToken, running(task)));
+    assertEquals(start, report(SESSION, 6, firstToken, running(task)));
+  }
+
+  /** Before memory holds the jobs, only what machines show tells where a cancelled one runs. */
+  @Test
+  void aCancellationBeforeMemoryIsRebuiltReachesTheMachinesThatShowTheJob() {
+    Reservation task = started();
+    workers.elected();
+    report(SESSION, 4, firstToken, running(task));
+    machine.clearUrgent();
+    workers.cancelled("run-of-another-job");
+    assertFalse(machine.isUrgent());
+    workers.cancelled(job.job.uid());
+    assertTrue(machine.isUrgent());
+  }
+
+  /** Searches knew nothing of a machine that was silent, though it had room. */
+  @Test
+  void aMachineThatASearchPassedOverContradictsItOnceItIsUsable() {
+    Job waits = Samples.job(2, JobKind.SERVICE, 1, 1);
+    FailedSearches proved = fleet.sets().roomIndex().failedSearches();
+    proved.note(waits, "a");
+    report(SESSION, 2, firstToken);
+    assertTrue(proved.knows(waits, "a"), "nothing has changed");
+    machine.passedOver = true;
+    report(SESSION, 3, firstToken);
+    assertFalse(proved.knows(waits, "a"));
+    assertFalse(machine.passedOver);
+  }
+
+  /** Whose lease may have lapsed is looked for from the front of this order. */
+  @Test
+  void machinesStandInTheOrderOfTheirLastAnswers() {
+    MachineEntry other = fleet.known(new Machine("n-2", "n-2:1", "g4", "a", false));
+    fleet.answered(machine);
+    context.nowMs += 1000;
+    fleet.answered(other);
+    context.nowMs += 20_000;
+    fleet.answered(machine);
+    context.nowMs += 5000;
+    assertEquals(List.of(other), fleet.unansweredFor(10_000));
+    assertEquals(List.of(machine, other), fleet.unansweredFor(1000));
+  }
+
   /** Tasks of another session are other runs, though they look alike. */
   @Test
   void theSameTasksInALaterSessionAreLookedAt() {
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -207,6 +207,7 @@
             count);
     own = Samples.withNextLimits(own, settings.nextStateLimits());
     own = Samples.withOperator(own, settings.operator());
+    own = Samples.withCloudRate(own, settings.cloudLimits().rps());
     int version = older.contains(node) ? ClusterVersion.FIRST : ClusterVersion.CURRENT;
     nodes.put(node, new Controller(own, new Random(random.nextLong()), nowMs, version));
   }
