A new leader's lease counts from when it was asked for

Cause: the lead was sure for half a lease from when it was taken. A node that stood still between the grant and that was sure of it after its end, while another could lead already. Change: it counts from when the grant was sent, like every renewal.

--- a/src/main/java/eiderfork/core/state/Term.java
+++ b/src/main/java/eiderfork/core/state/Term.java
@@ -312,20 +312,20 @@
   }
 
   private void grant(long last, long termVersion) {
+    long grantSentMs = context.nowMs;
     gate.send(
         new StateOp.Grant(leaseMs),
         Urgency.LEASE,
         reply -> {
           if (reply instanceof Reply.Leased leased) {
-            take(leased.lease(), last + 1, termVersion);
+            take(leased.lease(), grantSentMs, last + 1, termVersion);
           } else {
             later();
           }
         });
   }
 
-  private void take(long newLease, long newTerm, long termVersion) {
-    long sentMs = context.nowMs;
+  private void take(long newLease, long grantSentMs, long newTerm, long termVersion) {
     String node = context.settings.node();
     gate.send(
         new StateOp.Transact(
@@ -343,8 +343,9 @@
             lease = newLease;
             term = newTerm;
             leaderVersion = committed.revision();
-            // The lease may have run since before the taking transaction was sent; renew at once.
-            leaseSureUntilMs = sentMs + sureMs() / 2;
+            // The lease runs since it was asked for. Counted from when the lead was taken, a node
+            // that stood still in between was sure of a lease that was over. Renewed at once.
+            leaseSureUntilMs = grantSentMs + sureMs();
             nextMs = context.nowMs;
             renewing = false;
             gate.leading(true);
