Guests and failing jobs leave others their machines

A guest's arrays without GPUs took the processors of 132 free GPUs while arrays of the same priority waited for GPUs; plans rented room for all of 25,000 tasks of four seconds; with bitmap records 8,150 of them ran at once and left nobody processors. A job that fails everywhere was tried with all of its tasks, rented for them, began anew at each takeover, and two such jobs had a machine returned with all that ran there; eight tasks that failed together on one bad machine counted as eight tries, 32 s of delay. Changes: ArrayWaves (room for waves), Placer.mustSpareGpus, JobTurns (starts of an array collected for a fifth of a step; split from Placer), FailureHistory (one task at a time once a job failed on two machines in two tries; delays per task), blame only where other work does not go on or jobs ended well elsewhere. World hands the settings' aims on to its nodes; before, tests' aims of their own were dropped there.

--- /dev/null
+++ b/src/main/java/eiderfork/core/FailureHistory.java
@@ -0,0 +1,164 @@
+package eiderfork.core;
+
+import eiderfork.model.Record;
+import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
+import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * How the tasks of a job have failed, and when they are tried again.
+ *
+ * <p>A task that failed waits for longer after each failure. A job that failed on several machines,
+ * and of which nothing ended well since, is suspected to fail everywhere: it is tried with one task
+ * at a time, after a delay that grows with the tries, until one of them does well.
+ */
+final class FailureHistory {
+  /** A job that fails on this many machines in a row is itself suspected. */
+  private static final int SUSPECT_MACHINES = 2;
+
+  /** A job that fails on this many machines is itself at fault; no machine is blamed or avoided. */
+  private static final int JOB_FAULT_MACHINES = 3;
+
+  /** For so many steps after its last failure a job avoids the machines that it failed on. */
+  private static final int AVOID_STEPS = 30;
+
+  /** The delay doubles with each try up to this many times: to 32 steps. */
+  private static final int MOST_DOUBLINGS = 5;
+
+  /** A new leader suspects a job of this many attempts, see {@link #restored}. */
+  private static final int SUSPECT_ATTEMPTS = 4;
+
+  /** A task that runs for this many times what others ran before they failed does well. */
+  private static final int SURVIVAL_FACTOR = 2;
+
+  private final long stepMs;
+  private final Set<String> machines = new HashSet<>();
+  private final Int2IntOpenHashMap failuresByTask = new Int2IntOpenHashMap();
+  private final Int2LongOpenHashMap retryAtMs = new Int2LongOpenHashMap();
+
+  /** Tries in a row of which no task ended well; tasks reserved together are one try. */
+  private int failedTries;
+
+  /** Attempts up to this one are part of a try that has been counted. */
+  private long countedAttempt;
+
+  private long longestRunMs;
+  private long lastFailureMs;
+  private boolean suspected;
+  private long notBeforeMs;
+
+  FailureHistory(long stepMs) {
+    this.stepMs = stepMs;
+  }
+
+  /**
+   * A task failed.
+   *
+   * @param lastAttempt the newest attempt of the job: what was reserved by now is of the same try
+   */
+  void failed(Reservation p, long lastAttempt, long nowMs) {
+    machines.add(p.machine.name);
+    lastFailureMs = nowMs;
+    int failures = failuresByTask.addTo(p.index, 1) + 1;
+    retryAtMs.put(p.index, nowMs + delayMs(failures));
+    if (p.runningSinceMs > 0) {
+      longestRunMs = Math.max(longestRunMs, nowMs - p.runningSinceMs);
+    }
+    if (p.attempt > countedAttempt) {
+      failedTries++;
+      countedAttempt = lastAttempt;
+    }
+    suspected |= failedTries >= SUSPECT_MACHINES && machines.size() >= SUSPECT_MACHINES;
+    if (suspected) {
+      notBeforeMs = Math.max(notBeforeMs, nowMs + delayMs(failedTries));
+    }
+  }
+
+  /** A task was refused by its machine; the job waits for a step. */
+  void refused(long nowMs) {
+    notBeforeMs = Math.max(notBeforeMs, nowMs + stepMs);
+  }
+
+  /** A task of the job does well: the job is not at fault as a whole. */
+  void succeeded() {
+    failedTries = 0;
+    if (suspected) {
+      suspected = false;
+      notBeforeMs = 0;
+    }
+  }
+
+  /**
+   * A new leader takes the job up. Its predecessor's history is lost, but a job of many attempts of
+   * which nothing is done, and one task is reserved at most, goes on being tried with one task.
+   */
+  void restored(Record.Alloc alloc, int tasks) {
+    long lastAttempt = alloc.lastAttempt();
+    countedAttempt = lastAttempt;
+    int reserved = 0;
+    for (Record.Span span : alloc.reserved()) {
+      reserved += span.to() - span.from() + 1;
+    }
+    boolean seemsOnTrial = alloc.finished().isEmpty() && reserved <= 1 && reserved < tasks;
+    if (seemsOnTrial && lastAttempt >= SUSPECT_ATTEMPTS) {
+      suspected = true;
+      failedTries = (int) Math.min(lastAttempt, MOST_DOUBLINGS + 1);
+    }
+  }
+
+  private long delayMs(int failures) {
+    return stepMs << Math.min(MOST_DOUBLINGS, Math.max(0, failures - 2));
+  }
+
+  /** Whether the job seems to fail everywhere, and is tried with one task at a time. */
+  boolean isSuspected() {
+    return suspected;
+  }
+
+  /**
+   * Whether a task that runs since then has outlived those that failed. A new leader has seen none
+   * of them fail, and goes by the job's estimate.
+   */
+  boolean outlived(Reservation p, long nowMs) {
+    long seenMs = longestRunMs > 0 ? longestRunMs : (long) (p.job.job.estimateS() * 1000);
+    return p.runningSinceMs > 0
+        && nowMs - p.runningSinceMs > SURVIVAL_FACTOR * Math.max(seenMs, stepMs);
+  }
+
+  /** Before this time nothing of the job is tried. */
+  long notBeforeMs() {
+    return notBeforeMs;
+  }
+
+  /** Whether this task may be tried now, as far as its own failures go. */
+  boolean mayRetry(int index, long nowMs) {
+    return retryAtMs.isEmpty() || retryAtMs.get(index) <= nowMs;
+  }
+
+  /** How often this task has failed. */
+  int failuresOf(int index) {
+    return failuresByTask.get(index);
+  }
+
+  /** Whether the job was failed by so many machines that it is itself at fault. */
+  boolean isJobAtFault() {
+    return machines.size() >= JOB_FAULT_MACHINES;
+  }
+
+  /**
+   * Whether the job should rather run on another machine than this one. Not for ever: where the
+   * others are full, a plan counts on the room here and rents no more.
+   */
+  boolean avoids(String machine, long nowMs) {
+    return machines.contains(machine)
+        && !isJobAtFault()
+        && nowMs - lastFailureMs < AVOID_STEPS * stepMs;
+  }
+
+  /** The machines on which a task of the job failed. */
+  Set<String> machines() {
+    return Collections.unmodifiableSet(machines);
+  }
+}
--- a/src/main/java/eiderfork/core/GangPlacer.java
+++ b/src/main/java/eiderfork/core/GangPlacer.java
@@ -90,7 +90,7 @@
     long attempt = entry.nextAttempt();
     List<Reservation> proposed = new ArrayList<>();
     MachineSearch search =
-        new MachineSearch(room, score, random, fullSearchMost, entry, perZone, false);
+        new MachineSearch(room, score, random, fullSearchMost, entry, perZone, false, false);
     for (int index = 0; index < entry.job.tasks(); index++) {
       MachineEntry machine = search.best();
       if (machine == null || !stored.fits(index, attempt, machine.name)) {
--- a/src/main/java/eiderfork/core/JobEntry.java
+++ b/src/main/java/eiderfork/core/JobEntry.java
@@ -14,7 +14,6 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectAVLTreeMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectSortedMap;
 import java.util.BitSet;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
 
@@ -94,11 +93,7 @@
   /** Tasks neither placed nor finished. */
   final BitSet waiting = new BitSet();
 
-  /** Machines on which a task of this job ended with an error. */
-  final Set<String> failedOn = new HashSet<>();
-
-  int failures;
-  long notBeforeMs;
+  final FailureHistory failures;
 
   JobEntry(
       Job job,
@@ -106,8 +101,10 @@
       long order,
       long sinceMs,
       Backoff writeBackoff,
-      Backoff sizeBackoff) {
+      Backoff sizeBackoff,
+      FailureHistory failures) {
     this.job = job;
+    this.failures = failures;
     this.profile = profile;
     this.order = order;
     this.sinceMs = sinceMs;
@@ -117,6 +114,34 @@
     waiting.set(0, job.tasks());
   }
 
+  /** The first task that may be tried now, or -1; of a suspected job the one that failed least. */
+  int firstToTry(long nowMs) {
+    int first = nextToTry(-1, nowMs, true);
+    if (!failures.isSuspected()) {
+      return first;
+    }
+    int best = first;
+    for (int index = first; index >= 0; index = nextToTry(index, nowMs, true)) {
+      if (failures.failuresOf(index) < failures.failuresOf(best)) {
+        best = index;
+      }
+    }
+    return best;
+  }
+
+  /** The task that may be tried after this one, or -1; of a suspected job there is one only. */
+  int nextToTry(int after, long nowMs) {
+    return nextToTry(after, nowMs, !failures.isSuspected());
+  }
+
+  private int nextToTry(int after, long nowMs, boolean more) {
+    int index = more ? waiting.nextSetBit(after + 1) : -1;
+    while (index >= 0 && !failures.mayRetry(index, nowMs)) {
+      index = waiting.nextSetBit(index + 1);
+    }
+    return index;
+  }
+
   /** Whether something of the job is to be placed or written. */
   boolean hasWork() {
     return !waiting.isEmpty() || dirty;
--- a/src/main/java/eiderfork/core/JobTable.java
+++ b/src/main/java/eiderfork/core/JobTable.java
@@ -8,6 +8,7 @@
 import eiderfork.core.state.Term;
 import eiderfork.core.state.Urgency;
 import eiderfork.model.Job;
+import eiderfork.model.JobKind;
 import eiderfork.model.MachineType;
 import eiderfork.model.Record;
 import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
@@ -148,7 +149,9 @@
     Backoff writeBackoff = new Backoff(context.stepMs() / 5, context.stepMs() * 2);
     Backoff sizeBackoff = new Backoff(context.stepMs(), context.leaseMs());
     TaskProfile profile = profiles.intern(TaskProfile.of(job));
-    JobEntry entry = new JobEntry(job, profile, order, context.nowMs, writeBackoff, sizeBackoff);
+    FailureHistory failures = new FailureHistory(context.stepMs());
+    JobEntry entry =
+        new JobEntry(job, profile, order, context.nowMs, writeBackoff, sizeBackoff, failures);
     jobs.put(job.uid(), entry);
     activate(entry);
     return entry;
@@ -176,6 +179,9 @@
         }
       }
     }
+    if (entry.job.kind() == JobKind.ARRAY) {
+      entry.failures.restored(alloc, entry.job.tasks());
+    }
     restoreGang(entry);
     if (alloc.done()) {
       retire(entry);
@@ -265,7 +271,7 @@
     }
     if (done) {
       entry.finished.set(p.index);
-      entry.failures = 0;
+      entry.failures.succeeded();
     } else {
       entry.waiting.set(p.index);
     }
--- a/src/main/java/eiderfork/core/MachineEntry.java
+++ b/src/main/java/eiderfork/core/MachineEntry.java
@@ -111,6 +111,9 @@
   /** Jobs whose task ended here with an error since the last good end. */
   final Set<String> errors = new HashSet<>();
 
+  /** Those of them that have since ended well on another machine. */
+  final Set<String> confirmedErrors = new HashSet<>();
+
   boolean faulty;
 
   /** Images last used, oldest first, with their size. */
--- a/src/main/java/eiderfork/core/MachineScore.java
+++ b/src/main/java/eiderfork/core/MachineScore.java
@@ -41,6 +41,11 @@
     imageStepS = Math.min(context.stepS(), waitS * STEP_SHARE);
   }
 
+  /** Whether a task would leave free GPUs fewer processors than GPU work takes beside them. */
+  boolean strandsGpus(Resources free) {
+    return balance.strandedBy(job.need(), free) > 0;
+  }
+
   /**
    * First counts how many GPUs the task would leave without the processors that GPU work takes,
    * then how long the image keeps it waiting, in steps, then what the machine has left. Work that
--- a/src/main/java/eiderfork/core/MachineSearch.java
+++ b/src/main/java/eiderfork/core/MachineSearch.java
@@ -27,6 +27,7 @@
   private final RoundRoom room;
   private final MachineScore score;
   private final JobEntry entry;
+  private final boolean sparesGpus;
   private final Map<String, Integer> perZone;
   private final PriorityQueue<Found> found =
       new PriorityQueue<>(Comparator.comparingDouble(Found::score).thenComparingInt(Found::order));
@@ -42,6 +43,7 @@
    * @param mostExamined past this many looks in a round only a sample of the machines is searched
    * @param believe whether what other jobs' searches proved holds for this one; room that was
    *     claimed for it is not in that
+   * @param sparesGpus whether free GPUs keep the processors that GPU work takes
    */
   MachineSearch(
       RoundRoom room,
@@ -50,8 +52,10 @@
       double mostExamined,
       JobEntry entry,
       Map<String, Integer> perZone,
-      boolean believe) {
+      boolean believe,
+      boolean sparesGpus) {
     this.room = room;
+    this.sparesGpus = sparesGpus;
     this.score = score;
     this.entry = entry;
     this.perZone = perZone;
@@ -59,6 +63,9 @@
     if (believe) {
       open.removeIf(zone -> room.failedSearches().knows(entry.job, zone));
     }
+    if (sparesGpus) {
+      open.removeIf(zone -> room.sparingSearches().knows(entry.job, zone));
+    }
     if (open.isEmpty()) {
       sampled = false;
       return;
@@ -79,6 +86,9 @@
       open.stream()
           .filter(z -> !roomy.contains(z))
           .forEach(z -> room.failedSearches().note(entry.job, z));
+      if (sparesGpus && found.isEmpty()) {
+        open.forEach(z -> room.sparingSearches().note(entry.job, z));
+      }
     }
   }
 
@@ -93,6 +103,9 @@
       return;
     }
     roomy.add(m.zone());
+    if (sparesGpus && score.strandsGpus(left)) {
+      return;
+    }
     if (room.allowed(entry, m, perZone)) {
       found.add(new Found(m, score.of(m, left)));
     }
--- a/src/main/java/eiderfork/core/Placer.java
+++ b/src/main/java/eiderfork/core/Placer.java
@@ -4,7 +4,6 @@
 import eiderfork.core.context.Context;
 import eiderfork.core.state.StateGate;
 import eiderfork.core.state.Term;
-import eiderfork.core.state.Urgency;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Resources;
@@ -28,14 +27,6 @@
    */
   private static final double SEARCH_SHARE = 0.1;
 
-  /** Writes that wait for less than this share of a step leave room for what is not urgent. */
-  private static final double IDLE_SHARE = 0.2;
-
-  /**
-   * How long the ends of some of a job's tasks may be left unwritten while writes wait, in steps.
-   */
-  private static final int ENDS_STEPS = 5;
-
   private final Context context;
   private final Term term;
   private final StateGate gate;
@@ -49,6 +40,8 @@
 
   private final Map<String, Resources> usedByTeam = new HashMap<>();
   private final RoundRoom room;
+  private final JobTurns turns;
+  private final ArrayWaves waves;
   private final GangPlacer gangPlacer;
 
   /** Before this time no room is made, since making it has taken its share of the processor. */
@@ -80,6 +73,8 @@
             * context.stepS()
             * SEARCH_SHARE;
     room = new RoundRoom(fleet, liveness::usable);
+    turns = new JobTurns(context, gate, jobs);
+    waves = new ArrayWaves(context);
     gangPlacer = new GangPlacer(jobs, room, context.random, fullSearchMost);
   }
 
@@ -108,80 +103,37 @@
     boolean left = false;
     List<JobEntry> ranked = ranked();
     room.begin(context.nowMs);
-    if (ranked.stream().noneMatch(this::mayPlace)) {
+    boolean collecting = ranked.stream().anyMatch(turns::collectsStarts);
+    if (ranked.stream().noneMatch(turns::mayPlace)) {
       // Only ends are to be written.
       for (JobEntry entry : ranked) {
-        left |= writeEnds(entry);
+        left |= turns.writeEnds(entry);
       }
-      return left;
+      return left || collecting;
     }
+    boolean gpusWanted = ranked.stream().anyMatch(Placer::waitsForGpus);
     Preemption preemption =
         new Preemption(context, room, imageFetch, gpuBalance(), deadlines, fullSearchMost);
     for (JobEntry entry : ranked) {
       int before = entry.placed.size();
-      if (!mayNotWrite(entry) && mayPlace(entry)) {
+      if (turns.mayWrite(entry) && turns.mayPlace(entry)) {
         if (entry.gang == null) {
-          place(entry, preemption);
+          place(entry, preemption, gpusWanted && mustSpareGpus(entry));
         } else {
           placeGang(entry, preemption);
         }
       }
       if (entry.placed.size() > before) {
-        jobs.write(entry, startUrgency(entry));
+        jobs.write(entry, JobTurns.startUrgency(entry));
       } else {
-        left |= writeEnds(entry);
+        left |= turns.writeEnds(entry);
       }
     }
     makeRoomNotBeforeMs =
         Math.max(
             makeRoomNotBeforeMs,
             context.nowMs + (long) (preemption.examined() / fullSearchMost * context.stepMs()));
-    return left;
-  }
-
-  private boolean mayNotWrite(JobEntry entry) {
-    return !entry.mayWrite(context.nowMs);
-  }
-
-  /** Writes what only ended, once it was collected for long enough; whether some is left. */
-  private boolean writeEnds(JobEntry entry) {
-    if (mayNotWrite(entry)) {
-      return entry.writing && entry.dirty;
-    }
-    if (entry.dirty && entry.allFinished()) {
-      jobs.write(entry, Urgency.START);
-    } else if (entry.dirty && mayWriteEndsOfSome(entry)) {
-      jobs.write(entry, Urgency.BATCH);
-    }
-    return entry.dirty;
-  }
-
-  /**
-   * Whether the ends of some of a job's tasks may be written now. While writes wait they are left
-   * to the job's next start or end, which carry them: handed over, they would hold up starts, and a
-   * job whose last task ends meanwhile could only be written behind them. On a full write rate
-   * users were told 6 to 12 s late that their arrays were done. They are not left for long, since a
-   * team's tasks count until their ends are written.
-   */
-  private boolean mayWriteEndsOfSome(JobEntry entry) {
-    long sinceWrittenMs = context.nowMs - entry.writtenMs;
-    long waitMs = gate.waitMs(Urgency.BATCH);
-    return sinceWrittenMs >= collectMs() && waitMs <= IDLE_SHARE * context.stepMs()
-        || sinceWrittenMs >= ENDS_STEPS * context.stepMs() && waitMs <= context.stepMs();
-  }
-
-  private static Urgency startUrgency(JobEntry entry) {
-    return entry.job.kind() == JobKind.ARRAY ? Urgency.BATCH : Urgency.START;
-  }
-
-  private long collectMs() {
-    return (long) (context.stepMs() * context.settings.operator().roundShare());
-  }
-
-  private boolean mayPlace(JobEntry entry) {
-    return !entry.waiting.isEmpty()
-        && context.nowMs >= entry.notBeforeMs
-        && gate.waitMs(startUrgency(entry)) <= context.stepMs();
+    return left || collecting;
   }
 
   /** The jobs with something to do, the most urgent first. */
@@ -202,7 +154,23 @@
     makeRoomNotBeforeMs = 0;
   }
 
-  private void place(JobEntry entry, Preemption preemption) {
+  private static boolean waitsForGpus(JobEntry entry) {
+    return !entry.waiting.isEmpty() && entry.job.need().gpus() > 0;
+  }
+
+  /**
+   * Whether the job has to leave free GPUs the processors that GPU work takes, while such work
+   * waits. Arrays without GPUs that took them left 132 GPUs of spot machines idle for minutes,
+   * since work of one priority does not preempt. Such an array does not wait for ever, and less
+   * long where it has not begun.
+   */
+  private boolean mustSpareGpus(JobEntry entry) {
+    long sparesMs = TurnOrder.LATE_TURN_MS * (entry.lastAttempt == 0 ? 1 : 2);
+    boolean overdue = context.nowMs - entry.sinceMs > sparesMs;
+    return entry.job.kind() == JobKind.ARRAY && entry.job.need().gpus() <= 0 && !overdue;
+  }
+
+  private void place(JobEntry entry, Preemption preemption, boolean sparesGpus) {
     if (surelyFindsNothing(entry)) {
       return;
     }
@@ -212,16 +180,17 @@
     Resources used = used(job.team());
     List<RoundRoom.Claim> own = room.takeClaims(entry);
     boolean noRoom = false;
+    int startable = waves.startable(entry);
     long attempt = entry.nextAttempt();
     AllocRoom stored = allocRoom(entry);
     MachineScore score = new MachineScore(context, imageFetch, gpuBalance(), deadlines, entry);
     MachineSearch search =
         new MachineSearch(
-            room, score, context.random, fullSearchMost, entry, perZone, own.isEmpty());
-    for (int index = entry.waiting.nextSetBit(0);
+            room, score, context.random, fullSearchMost, entry, perZone, own.isEmpty(), sparesGpus);
+    for (int index = entry.firstToTry(context.nowMs);
         index >= 0;
-        index = entry.waiting.nextSetBit(index + 1)) {
-      if (team == null || !team.withinLimit(used.plus(job.need()))) {
+        index = entry.nextToTry(index, context.nowMs)) {
+      if (startable-- <= 0 || team == null || !team.withinLimit(used.plus(job.need()))) {
         break;
       }
       MachineEntry m = search.best();
@@ -251,7 +220,7 @@
     usedByTeam.put(job.team(), used);
     int kept = Math.min(own.size(), entry.waiting.cardinality());
     own.subList(0, kept).forEach(room::claim);
-    if (noRoom) {
+    if (noRoom && !entry.failures.isSuspected()) {
       makeRoom(preemption, entry, entry.waiting.cardinality() - kept, perZone, Double.MAX_VALUE);
     }
   }
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -46,6 +46,9 @@
    */
   private static final int SILENCE_LEASES = 2;
 
+  /** How long a job that seems to fail everywhere looks for room before a machine is rented. */
+  private static final int SUSPECT_RENT_LEASES = 3;
+
   /** A returned machine costs this long at least. */
   static final long MIN_CHARGE_MS = 60_000;
 
@@ -78,6 +81,7 @@
   private final Cloud cloud;
   private final Placer placer;
   private final Drain drain;
+  private final ArrayWaves waves;
   private final Map<String, Arrivals> arrivals = new LinkedHashMap<>();
   private long arrivalsSinceMs;
   private long describeNextMs;
@@ -101,6 +105,7 @@
     this.cloud = cloud;
     this.placer = placer;
     drain = new Drain(context, fleet, liveness, placer);
+    waves = new ArrayWaves(context);
   }
 
   void clear() {
@@ -126,7 +131,7 @@
     Packing packing = new Packing(context, fleet, cloud, placer.gpuBalance(), bins());
     Map<String, Resources> used = new HashMap<>();
     for (JobEntry entry : ranked) {
-      if (entry.aborted || entry.aborting || context.nowMs < entry.notBeforeMs) {
+      if (entry.aborted || entry.aborting || context.nowMs < entry.failures.notBeforeMs()) {
         continue;
       }
       pack(entry, packing, used);
@@ -225,13 +230,25 @@
       return;
     }
     Resources before = used.computeIfAbsent(job.team(), jobs.tally()::used);
-    int tasks = team.tasksWithinLimit(before, job.need(), entry.waiting.cardinality());
+    int tasks = team.tasksWithinLimit(before, job.need(), wanted(entry));
     if (tasks > 0) {
       int put = packing.put(job, tasks, PlacementRules.zonesOf(entry), job.perZone());
       used.put(job.team(), before.plus(job.need().times(put)));
     }
   }
 
+  /**
+   * How many tasks of a job need room now. One that seems to fail everywhere rents nothing: it is
+   * tried where there is room, and gets a machine for one task only after it found none for long.
+   */
+  private int wanted(JobEntry entry) {
+    if (entry.failures.isSuspected()) {
+      long sinceMs = context.nowMs - entry.failures.notBeforeMs();
+      return entry.placed.isEmpty() && sinceMs > SUSPECT_RENT_LEASES * context.leaseMs() ? 1 : 0;
+    }
+    return waves.wanted(entry);
+  }
+
   /**
    * Packs what stands on machines that have been silent for a while: it will want new places when
    * their leases lapse, and machines for that take a boot's time to come.
--- a/src/main/java/eiderfork/core/Preemption.java
+++ b/src/main/java/eiderfork/core/Preemption.java
@@ -213,7 +213,7 @@
 
   /** In none of the zones that would take one more task can room be made. */
   private void note(JobEntry entry, Set<String> open, Map<String, Integer> perZone) {
-    if (!entry.failedOn.isEmpty()) {
+    if (!entry.failures.machines().isEmpty()) {
       return;
     }
     open.retainAll(room.openZones(entry, perZone));
--- a/src/main/java/eiderfork/core/ReportReconciler.java
+++ b/src/main/java/eiderfork/core/ReportReconciler.java
@@ -15,11 +15,11 @@
 final class ReportReconciler {
   private static final Logger LOG = LoggerFactory.getLogger(ReportReconciler.class);
 
-  /** Jobs that must fail on a machine, and end well elsewhere or not have run, to condemn it. */
+  /** Jobs that must fail on a machine, and on no other, to condemn it. */
   private static final int FAULTY_ERRORS = 2;
 
-  /** A job that fails on this many machines is itself at fault. */
-  private static final int JOB_FAULT_MACHINES = 3;
+  /** The same where other work goes on beside them. */
+  private static final int FAULTY_ERRORS_BESIDE_WORK = 4;
 
   private final Context context;
   private final Term term;
@@ -104,29 +104,19 @@
     switch (task.cause()) {
       case DONE -> {
         m.errors.clear();
+        m.confirmedErrors.clear();
+        confirmBlame(m, job);
         jobs.release(p, true);
       }
       case ERROR -> {
         LOG.info("{} failed on {}", p.id(), m.name);
-        job.failures++;
-        job.failedOn.add(m.name);
-        if (job.failedOn.size() < JOB_FAULT_MACHINES) {
-          m.errors.add(job.job.uid());
-        } else {
-          // The job fails everywhere: no machine is to blame for it.
-          forgive(job);
-        }
-        if (m.errors.size() >= FAULTY_ERRORS) {
-          LOG.info("machine {} is faulty", m.name);
-          m.faulty = true;
-        }
-        job.notBeforeMs =
-            context.nowMs + (context.stepMs() << Math.min(5, Math.max(0, job.failures - 2)));
+        job.failures.failed(p, job.nextAttempt() - 1, context.nowMs);
+        blame(m, job);
         jobs.release(p, false);
       }
       case NO_ROOM, BUSY, UNKNOWN -> {
         LOG.info("{} refused on {}: {}", p.id(), m.name, task.cause());
-        job.notBeforeMs = context.nowMs + context.stepMs();
+        job.failures.refused(context.nowMs);
         jobs.release(p, false);
       }
       case STOPPED, PEERS, INCOMPLETE -> jobs.release(p, false);
@@ -134,11 +124,59 @@
     kick.run();
   }
 
+  /** Whether the machine is to blame for the failure, or the job. */
+  private void blame(MachineEntry m, JobEntry job) {
+    if (job.failures.isJobAtFault()) {
+      // It fails everywhere: no machine is to blame for it.
+      forgive(job);
+      return;
+    }
+    m.errors.add(job.job.uid());
+    condemnIfFaulty(m);
+  }
+
+  /** A job ends well here: where it failed before, the machine is to blame. */
+  private void confirmBlame(MachineEntry m, JobEntry job) {
+    if (job.failures.isJobAtFault() || job.failures.isSuspected()) {
+      return;
+    }
+    for (String name : job.failures.machines()) {
+      MachineEntry failed = fleet.get(name);
+      if (failed != null && failed != m && failed.errors.contains(job.job.uid())) {
+        failed.confirmedErrors.add(job.job.uid());
+        condemnIfFaulty(failed);
+      }
+    }
+  }
+
+  /**
+   * Two jobs with a mistake may come to a good machine first. Where other work goes on, all that
+   * runs there is given up only if they ended well elsewhere, or once more jobs have failed.
+   */
+  private static void condemnIfFaulty(MachineEntry m) {
+    int needed = othersGoOn(m) ? FAULTY_ERRORS_BESIDE_WORK : FAULTY_ERRORS;
+    boolean faulty = m.errors.size() >= needed || m.confirmedErrors.size() >= FAULTY_ERRORS;
+    if (faulty && !m.faulty) {
+      LOG.info("machine {} is faulty", m.name);
+      m.faulty = true;
+    }
+  }
+
+  private static boolean othersGoOn(MachineEntry m) {
+    for (Reservation p : m.placed) {
+      if (p.seen == TaskReport.State.RUNNING && !m.errors.contains(p.job.job.uid())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void forgive(JobEntry job) {
-    for (String name : job.failedOn) {
+    for (String name : job.failures.machines()) {
       MachineEntry other = fleet.get(name);
       if (other != null) {
         other.errors.remove(job.job.uid());
+        other.confirmedErrors.remove(job.job.uid());
       }
     }
   }
--- a/src/main/java/eiderfork/core/RoundRoom.java
+++ b/src/main/java/eiderfork/core/RoundRoom.java
@@ -28,10 +28,17 @@
 
   private final List<Claim> claims = new ArrayList<>();
 
+  /**
+   * What the searches of this round that spare GPUs have proved. It holds for no longer: the room
+   * that they find also grows where GPUs are taken.
+   */
+  private final FailedSearches sparingSearches = new FailedSearches();
+
   /** The machines that may be used in this round; null until they are asked for. */
   private List<MachineEntry> machines;
 
   private int examined;
+  private long nowMs;
 
   /**
    * @param usable whether tasks may be placed on a machine now
@@ -45,6 +52,8 @@
   void begin(long nowMs) {
     machines = null;
     examined = 0;
+    this.nowMs = nowMs;
+    sparingSearches.clear();
     List<Claim> open = List.copyOf(claims);
     claims.clear();
     claimed.clear();
@@ -157,6 +166,11 @@
     return index().failedSearches();
   }
 
+  /** What searches of this round that spare GPUs have proved to find no room. */
+  FailedSearches sparingSearches() {
+    return sparingSearches;
+  }
+
   /** Counts a look at a machine for a job. */
   void countExamined() {
     examined++;
@@ -185,7 +199,7 @@
     if (!PlacementRules.kindAllowed(job, m)) {
       return false;
     }
-    if (entry.failedOn.contains(m.name) && entry.failedOn.size() < index().size()) {
+    if (entry.failures.avoids(m.name, nowMs) && entry.failures.machines().size() < index().size()) {
       return false;
     }
     return PlacementRules.zoneAccepts(job, m.zone(), perZone, job.perZone());
--- a/src/main/java/eiderfork/core/TurnOrder.java
+++ b/src/main/java/eiderfork/core/TurnOrder.java
@@ -23,6 +23,9 @@
   /** The share of that time after which a late job that never started goes before all others. */
   private static final double LATE_TURN_SHARE = 0.6;
 
+  /** After this time work that never started goes before what is put first otherwise. */
+  static final long LATE_TURN_MS = (long) (MUST_BEGIN_MS * LATE_TURN_SHARE);
+
   /** Longer than any job lives: what is put off by this comes behind all others of its rank. */
   private static final long BEHIND_ALL_MS = 1L << 50;
 
--- a/src/test/java/eiderfork/core/AllocRoomTest.java
+++ b/src/test/java/eiderfork/core/AllocRoomTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import eiderfork.core.limits.Backoff;
 import eiderfork.model.JobKind;
 import org.junit.jupiter.api.Test;
 
@@ -14,8 +13,7 @@
   /** How many tasks on machines of their own may be reserved at once. */
   private static int reservable(double plainKb, double packedKb) {
     var job = Samples.job(1, JobKind.ARRAY, TASKS, 1);
-    Backoff backoff = new Backoff(1, 2);
-    JobEntry entry = new JobEntry(job, TaskProfile.of(job), 1, 0, backoff, backoff);
+    JobEntry entry = Samples.entry(job);
     AllocRoom room = new AllocRoom(entry, plainKb, packedKb, false);
     int count = 0;
     while (count < TASKS && room.fits(count, 1, "n-%06d".formatted(count))) {
--- a/src/test/java/eiderfork/core/AllocSizeTest.java
+++ b/src/test/java/eiderfork/core/AllocSizeTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
-import eiderfork.core.limits.Backoff;
 import eiderfork.core.message.StateOp;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
@@ -61,8 +60,7 @@
       Function<Record.Alloc, Record> form) {
     Random random = new Random(seed);
     Job job = Samples.job(1, JobKind.ARRAY, tasks, 1);
-    JobEntry entry =
-        new JobEntry(job, TaskProfile.of(job), 1, 0, new Backoff(1, 2), new Backoff(1, 2));
+    JobEntry entry = Samples.entry(job);
     int most = 0;
     long attempt = 0;
     while (!entry.allFinished()) {
--- /dev/null
+++ b/src/test/java/eiderfork/core/ArrayWavesTest.java
@@ -0,0 +1,115 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import eiderfork.config.Settings;
+import eiderfork.config.Settings.Objective;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Priority;
+import eiderfork.model.Resources;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Arrays of thousands of short tasks: what is rented for them, and how they end. */
+class ArrayWavesTest {
+  private static final int TASKS = 3000;
+
+  private static Settings settings(double aimS) {
+    Objective aim = new Objective(Objective.Kind.FINISHED, "batch", aimS, 1, 0.9);
+    return Samples.withObjectives(Samples.settings("roost-0"), ImmutableList.of(aim));
+  }
+
+  private static Job array(int number) {
+    Job like = Samples.job(number, JobKind.ARRAY, TASKS, 0);
+    return new Job(
+        like.uid(),
+        like.jobClass(),
+        like.team(),
+        like.kind(),
+        Priority.LOW,
+        TASKS,
+        new Resources(0.25, 0, 0.5),
+        ImmutableSet.of("c8"),
+        null,
+        false,
+        false,
+        true,
+        "img",
+        0.5,
+        2,
+        0,
+        0,
+        null);
+  }
+
+  /**
+   * Room for all tasks at once would be 94 machines; they stood idle when the array was through.
+   */
+  @Test
+  void anArrayOfShortTasksIsPlannedInWaves() {
+    World world = new World(5, settings(400));
+    world.cloud.capacity = 100;
+    world.submit(array(1));
+    world.run(30);
+    assertTrue(world.cloud.hosts().size() <= 8, world.cloud.hosts().size() + " machines");
+    world.run(200);
+    assertTrue(world.checker.isDone(array(1).uid()));
+    assertEquals(List.of(), world.checker.breaches);
+  }
+
+  /** A leader that ends in its middle, twice, loses and repeats nothing. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void twoCrashesOfTheLeaderLoseNothingOfIt(long seed) {
+    World world = new World(seed, settings(400));
+    world.cloud.capacity = 6;
+    world.submit(array(1));
+    world.at(17_300 + seed * 170, () -> world.crash(world.leader(), 3000));
+    world.at(41_000 + seed * 230, () -> world.crash(world.leader(), 3000));
+    world.run(25);
+    int early = world.checker.completed(array(1).uid());
+    assertTrue(early > 100, early + " done");
+    world.run(200);
+    assertTrue(world.checker.isDone(array(1).uid()));
+    assertTrue(world.committedDone(array(1)));
+    // Tasks whose end is not written yet are started again, and end at once with their result.
+    assertTrue(world.checker.starts < TASKS + TASKS / 5, world.checker.starts + " starts");
+    assertEquals(List.of(), world.checker.breaches);
+  }
+
+  /** Half of the limit, and machines that die or lose their leases in its middle. */
+  @Test
+  void itGoesOnUnderHalfOfTheLimitWhileMachinesDie() {
+    Settings base = settings(400);
+    Settings.StateLimits limits = base.stateLimits();
+    Settings.StateLimits half =
+        new Settings.StateLimits(limits.rps(), limits.writeRps(), 2, limits.txnOps());
+    World world = new World(9, Samples.withNextLimits(base, half));
+    world.cloud.capacity = 6;
+    world.submit(array(1));
+    world.at(10_000, () -> world.state.lowerLimits(2, limits.writeRps(), world.nowMs));
+    for (int i = 0; i < 4; i++) {
+      world.at(20_000 + i * 9000L, () -> world.die(world.workers().get(0).machine.name()));
+    }
+    world.run(300);
+    assertTrue(world.checker.isDone(array(1).uid()));
+    assertEquals(List.of(), world.checker.breaches);
+  }
+
+  /** An array whose tasks take a good part of its time gets room for all of them. */
+  @Test
+  void anArrayOfLongTasksIsPlannedAsAWhole() {
+    World world = new World(6, settings(20));
+    Job job = Samples.job(1, JobKind.ARRAY, 40, 0);
+    world.submit(job);
+    world.run(25);
+    assertTrue(world.checker.isDone(job.uid()));
+    assertTrue(world.cloud.hosts().size() >= 5, "room for one after the other only");
+  }
+}
--- a/src/test/java/eiderfork/core/Checker.java
+++ b/src/test/java/eiderfork/core/Checker.java
@@ -199,6 +199,11 @@
         && completed.getOrDefault(uid, Set.of()).size() == job.tasks();
   }
 
+  /** How many of a job's tasks have ended well. */
+  int completed(String uid) {
+    return completed.getOrDefault(uid, Set.of()).size();
+  }
+
   long running(String uid) {
     return on.keySet().stream().filter(task -> task.job().equals(uid)).count();
   }
--- a/src/test/java/eiderfork/core/FakeWorker.java
+++ b/src/test/java/eiderfork/core/FakeWorker.java
@@ -181,7 +181,7 @@
             job.kind() == JobKind.SERVICE
                 ? Long.MAX_VALUE
                 : world.nowMs + (kept ? 0 : (long) (job.estimateS() * 1000));
-      } else if (world.failing(job, machine)) {
+      } else if (world.failing(id, machine)) {
         end(task, TaskReport.Cause.ERROR);
       } else {
         results.add(id);
@@ -196,7 +196,7 @@
     task.nextMs = Long.MAX_VALUE;
     if (results.contains(task.attempt.task())) {
       end(task, TaskReport.Cause.DONE);
-    } else if (world.failing(world.job(task.attempt.task().job()), machine)) {
+    } else if (world.failing(task.attempt.task(), machine)) {
       end(task, TaskReport.Cause.ERROR);
     }
   }
--- a/src/test/java/eiderfork/core/HugeArrayRecordTest.java
+++ b/src/test/java/eiderfork/core/HugeArrayRecordTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
-import eiderfork.core.limits.Backoff;
 import eiderfork.core.message.StateOp;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
@@ -33,8 +32,7 @@
   void fitsInWhateverOrderItsTasksEnd(long seed, double valueKb, int atLeastAtOnce) {
     Random random = new Random(seed);
     Job job = Samples.job(1, JobKind.ARRAY, 20_000, 1);
-    JobEntry entry =
-        new JobEntry(job, TaskProfile.of(job), 1, 0, new Backoff(1, 2), new Backoff(1, 2));
+    JobEntry entry = Samples.entry(job);
     List<MachineEntry> machines = new ArrayList<>();
     for (int i = 0; i < MACHINES; i++) {
       machines.add(new MachineEntry("n-%06d".formatted(700 + i), i, new MachineSets(), 0));
@@ -106,8 +104,7 @@
   @ValueSource(booleans = {true, false})
   void theAttemptsOfStragglersAreCountedAsFarAsTheyLieBehind(boolean withBitmaps) {
     Job job = Samples.job(1, JobKind.ARRAY, 400, 1);
-    JobEntry entry =
-        new JobEntry(job, TaskProfile.of(job), 1, 0, new Backoff(1, 2), new Backoff(1, 2));
+    JobEntry entry = Samples.entry(job);
     double valueKb = 2;
     long newest = 1L << 40;
     int index = 0;
--- a/src/test/java/eiderfork/core/RoomIndexTest.java
+++ b/src/test/java/eiderfork/core/RoomIndexTest.java
@@ -163,7 +163,7 @@
     Deadlines deadlines = new Deadlines(context, fleet);
     MachineScore score = new MachineScore(context, imageFetch, GpuBalance.NONE, deadlines, entry);
     MachineSearch search =
-        new MachineSearch(room, score, random, 1000, entry, new HashMap<>(), true);
+        new MachineSearch(room, score, random, 1000, entry, new HashMap<>(), true, false);
     assertEquals(null, search.best());
     assertTrue(m.passedOver);
     assertTrue(index.failedSearches().knows(entry.job, "a"));
--- a/src/test/java/eiderfork/core/Samples.java
+++ b/src/test/java/eiderfork/core/Samples.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableSet;
 import eiderfork.config.OperatorSettings;
 import eiderfork.config.Settings;
+import eiderfork.core.limits.Backoff;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Priority;
@@ -293,4 +294,10 @@
         0,
         null);
   }
+
+  /** A job as a leader holds it that has just learned of it. */
+  static JobEntry entry(Job job) {
+    Backoff backoff = new Backoff(1, 2);
+    return new JobEntry(job, TaskProfile.of(job), 1, 0, backoff, backoff, new FailureHistory(1));
+  }
 }
--- a/src/test/java/eiderfork/core/World.java
+++ b/src/test/java/eiderfork/core/World.java
@@ -90,6 +90,9 @@
 
   final Set<String> badJobs = new HashSet<>();
 
+  /** Tasks that fail on every machine. */
+  final Set<TaskId> badTasks = new HashSet<>();
+
   long nowMs = 1_000_000;
   private final PriorityQueue<Event> queue = new PriorityQueue<>();
   private long order;
@@ -148,8 +151,10 @@
     checker.completes(id);
   }
 
-  boolean failing(Job job, Machine machine) {
-    return badJobs.contains(job.uid()) || badMachines.contains(machine.name());
+  boolean failing(TaskId task, Machine machine) {
+    return badJobs.contains(task.job())
+        || badTasks.contains(task)
+        || badMachines.contains(machine.name());
   }
 
   // Time.
@@ -209,6 +214,7 @@
             settings.controller().sockets(),
             count);
     own = Samples.withNextLimits(own, settings.nextStateLimits());
+    own = Samples.withObjectives(own, settings.objectives());
     own = Samples.withOperator(own, settings.operator());
     own = Samples.withCloudRate(own, settings.cloudLimits().rps());
     nodes.put(node, new Controller(own, new Random(random.nextLong()), nowMs, version(node)));
