Kinds of machine that come up late are rented last

Need: on-call people saw machines ordered in one zone come up late or never while replicas waited. Change: where half of the machines of a kind that were rented lately are overdue, other zones come first, and other types that cost less than twice as much. PackingTest fails without it; LateBootTest plays late, missing and early boots and passes either way.

--- a/src/main/java/eiderfork/core/Packing.java
+++ b/src/main/java/eiderfork/core/Packing.java
@@ -8,6 +8,7 @@
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -18,11 +19,18 @@
   /** How much dearer a machine counts whose image fetch takes longer than the job may wait. */
   private static final double SLOW_FETCH_FACTOR = 2;
 
+  /** How much dearer a kind of machine counts while one of it is overdue. */
+  private static final double LATE_FACTOR = 2;
+
   private final Context context;
   private final Fleet fleet;
   private final Cloud cloud;
   private final GpuBalance balance;
   private final List<Bin> bins;
+
+  /** Kinds of machine that come up late now. */
+  private final Set<Cloud.Kind> lateKinds;
+
   private final BinTree tree;
   private final int knownBins;
 
@@ -37,8 +45,17 @@
 
   /**
    * @param bins the machines that may be counted on; bins for machines to rent are added at its end
+   * @param lateKinds kinds of which machines are overdue now; others are rented where that costs
+   *     less than {@link #LATE_FACTOR} times as much
    */
-  Packing(Context context, Fleet fleet, Cloud cloud, GpuBalance balance, List<Bin> bins) {
+  Packing(
+      Context context,
+      Fleet fleet,
+      Cloud cloud,
+      GpuBalance balance,
+      List<Bin> bins,
+      Set<Cloud.Kind> lateKinds) {
+    this.lateKinds = lateKinds;
     this.context = context;
     this.fleet = fleet;
     this.cloud = cloud;
@@ -155,9 +172,12 @@
         continue;
       }
       for (boolean spot : new boolean[] {false, true}) {
-        double cost = cost(job, type, spot, fits);
-        Cloud.Kind kind = cost < bestCost ? zoneFor(job, type, spot, perZone, zoneMost) : null;
-        if (kind != null) {
+        Cloud.Kind kind = zoneFor(job, type, spot, perZone, zoneMost);
+        if (kind == null) {
+          continue;
+        }
+        double cost = cost(job, type, spot, fits) * (lateKinds.contains(kind) ? LATE_FACTOR : 1);
+        if (cost < bestCost) {
           bestCost = cost;
           best = new Bin(null, kind, type.room(), type.room());
         }
@@ -173,15 +193,20 @@
 
   /**
    * The type in the zone that has the fewest of it among those where the job may have it, or null.
+   * Zones where it comes up late now are behind the others.
    */
   private Cloud.Kind zoneFor(
       Job job, MachineType type, boolean spot, Map<String, Integer> perZone, int zoneMost) {
     Cloud.Kind best = null;
+    boolean bestIsLate = true;
     int fewest = Integer.MAX_VALUE;
     for (String zone : type.zones()) {
       Cloud.Kind kind = new Cloud.Kind(type.name(), zone, spot);
       int count = machines.getInt(TypeInZone.of(kind));
-      if (count < fewest && mayRent(kind) && allowed(job, kind, perZone, zoneMost)) {
+      boolean late = lateKinds.contains(kind);
+      boolean better = late == bestIsLate ? count < fewest : !late;
+      if (better && mayRent(kind) && allowed(job, kind, perZone, zoneMost)) {
+        bestIsLate = late;
         fewest = count;
         best = kind;
       }
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -1,6 +1,8 @@
 package eiderfork.core;
 
+import com.google.common.collect.HashMultiset;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Multiset;
 import eiderfork.core.context.Context;
 import eiderfork.core.state.StateGate;
 import eiderfork.model.Job;
@@ -13,9 +15,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -128,7 +132,7 @@
 
   void plan() {
     List<JobEntry> ranked = placer.ranked();
-    Packing packing = new Packing(context, fleet, cloud, placer.gpuBalance(), bins());
+    Packing packing = new Packing(context, fleet, cloud, placer.gpuBalance(), bins(), lateKinds());
     Map<String, Resources> used = new HashMap<>();
     for (JobEntry entry : ranked) {
       if (entry.aborted || entry.aborting || context.nowMs < entry.failures.notBeforeMs()) {
@@ -217,6 +221,30 @@
     return bins;
   }
 
+  /** The kinds of machine of which half of those rented lately should be up by now and are not. */
+  private Set<Cloud.Kind> lateKinds() {
+    Multiset<Cloud.Kind> recent = HashMultiset.create();
+    Multiset<Cloud.Kind> late = HashMultiset.create();
+    for (MachineEntry m : fleet.machines()) {
+      MachineType type = fleet.type(m);
+      if (m.returning || type == null || isOld(m, type)) {
+        continue;
+      }
+      Cloud.Kind kind = new Cloud.Kind(m.machine.type(), m.machine.zone(), m.machine.spot());
+      recent.add(kind);
+      if (m.report == null && overdue(m, type, LATE_BOOT)) {
+        late.add(kind);
+      }
+    }
+    Set<Cloud.Kind> kinds = new HashSet<>(late.elementSet());
+    kinds.removeIf(kind -> late.count(kind) * 2 < recent.count(kind));
+    return kinds;
+  }
+
+  private boolean isOld(MachineEntry m, MachineType type) {
+    return context.nowMs - m.sinceMs > FAILED_BOOT * type.bootS() * 1000;
+  }
+
   private void packHeadroom(Arrivals a, Packing packing) {
     int ready = headroom(a);
     int zoneMost = a.sample.spread() ? (ready + 1) / 2 : ready;
--- a/src/test/java/eiderfork/core/FakeCloud.java
+++ b/src/test/java/eiderfork/core/FakeCloud.java
@@ -35,6 +35,9 @@
   /** How long a rented machine boots; 0 for 2 to 8 s. */
   long bootMs;
 
+  /** How long machines of a kind boot where that is not {@link #bootMs}. */
+  final Map<Cloud.Kind, Long> bootMsOf = new HashMap<>();
+
   /** The cloud refuses every request. */
   boolean down;
 
@@ -96,7 +99,9 @@
     int count = (int) Math.min(rent.count(), stock.getOrDefault(kind, capacity) - same);
     for (int i = 0; i < count; i++) {
       long slowMs = 2000 + random.nextLong(6000);
-      addHost(rent.type(), rent.zone(), rent.spot(), bootMs > 0 ? bootMs : slowMs, nowMs);
+      long usualMs = bootMs > 0 ? bootMs : slowMs;
+      long upAfterMs = bootMsOf.getOrDefault(kind, usualMs);
+      addHost(rent.type(), rent.zone(), rent.spot(), upAfterMs, nowMs);
       names.add(hosts.lastKey());
     }
     if (count <= 0) {
--- /dev/null
+++ b/src/test/java/eiderfork/core/LateBootTest.java
@@ -0,0 +1,93 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Machines that come up late, never, or at once, and lists that tell of them late. */
+class LateBootTest {
+  /** The boot time of the scripted cloud's machines with GPUs. */
+  private static final double BOOT_S = 4;
+
+  private static final long NEVER_MS = 10_000_000;
+
+  private final World world = new World(17);
+
+  @AfterEach
+  void rulesHold() {
+    assertEquals(List.of(), world.checker.breaches);
+  }
+
+  private void zoneBoots(String zone, long bootMs) {
+    for (boolean spot : new boolean[] {false, true}) {
+      world.cloud.bootMsOf.put(new Cloud.Kind("g4", zone, spot), bootMs);
+    }
+  }
+
+  /** Another zone is taken within a bound that follows from the boot time. */
+  @ParameterizedTest
+  @ValueSource(longs = {20 * 4000, NEVER_MS})
+  void replicasDoNotWaitForABootThatIsOverdue(long bootMs) {
+    zoneBoots("a", bootMs);
+    zoneBoots("b", 3000);
+    Job job = Samples.job(1, JobKind.SERVICE, 4, 4);
+    world.submit(job);
+    // Overdue after two boots, then a plan, a rent, a boot and an image.
+    world.run(2 + BOOT_S * 2 + 2 + 3 + 3);
+    assertEquals(4, world.checker.running(job.uid()));
+    world.run(120);
+    assertEquals(4, world.checker.running(job.uid()));
+    assertTrue(world.cloud.liveHosts() <= 6, "what came up late is used or returned");
+  }
+
+  /** While the first rent of a need is not known to be late, no second one follows. */
+  @Test
+  void noMachineIsRentedTwiceBeforeItIsOverdue() {
+    zoneBoots("a", (long) (BOOT_S * 1.9 * 1000));
+    zoneBoots("b", (long) (BOOT_S * 1.9 * 1000));
+    world.submit(Samples.job(1, JobKind.SERVICE, 4, 4));
+    world.run(4);
+    int rented = world.cloud.hosts().size();
+    world.run(BOOT_S * 1.9 - 2);
+    assertEquals(rented, world.cloud.hosts().size());
+  }
+
+  /** All kinds are late for a while: the fleet stays bounded, and work starts when that is over. */
+  @Test
+  void whereAllAreLateTheFleetStaysBounded() {
+    zoneBoots("a", (long) (BOOT_S * 20 * 1000));
+    zoneBoots("b", (long) (BOOT_S * 20 * 1000));
+    Job job = Samples.job(1, JobKind.SERVICE, 4, 4);
+    world.submit(job);
+    world.run(60);
+    assertTrue(world.cloud.liveHosts() <= 40, world.cloud.liveHosts() + " machines live");
+    zoneBoots("a", 3000);
+    zoneBoots("b", 3000);
+    world.run(BOOT_S * 4);
+    assertEquals(4, world.checker.running(job.uid()));
+    world.run(120);
+    assertTrue(world.cloud.liveHosts() <= 6, world.cloud.liveHosts() + " machines live");
+  }
+
+  /** Machines are up at once, long before any list has them; the leader ends meanwhile. */
+  @Test
+  void bootsThatComeEarlyMeetTheEndOfTheLeader() {
+    zoneBoots("a", 100);
+    zoneBoots("b", 100);
+    world.run(2);
+    Job job = Samples.job(1, JobKind.SERVICE, 4, 4);
+    world.submit(job);
+    world.at(900, () -> world.crash(world.leader(), 2000));
+    world.run(20);
+    assertEquals(4, world.checker.running(job.uid()));
+    world.run(100);
+    assertTrue(world.cloud.liveHosts() <= 6, world.cloud.liveHosts() + " machines live");
+  }
+}
--- a/src/test/java/eiderfork/core/PackingTest.java
+++ b/src/test/java/eiderfork/core/PackingTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Onto which machines a plan puts tasks, and which machines it wants to rent for them. */
@@ -32,12 +33,17 @@
   private final Bin gpuBin = new Bin(null, GPU_KIND, GPU_MACHINE.room(), GPU_MACHINE.room());
 
   private Packing packing(MachineType... types) {
+    return packing(Set.of(), types);
+  }
+
+  private Packing packing(Set<Cloud.Kind> lateKinds, MachineType... types) {
     Context context = new Context(Samples.settings("roost-0"), new Random(1), 1000);
     StateGate gate = new StateGate(context);
     Fleet fleet = new Fleet(context, new JobTable(context, gate, null, null));
     fleet.types(ImmutableList.copyOf(types));
     Cloud cloud = new Cloud(context, null, gate, fleet);
-    return new Packing(context, fleet, cloud, FOUR_CPUS_A_GPU, new ArrayList<>(List.of(gpuBin)));
+    return new Packing(
+        context, fleet, cloud, FOUR_CPUS_A_GPU, new ArrayList<>(List.of(gpuBin)), lateKinds);
   }
 
   private static Job cpuService(int tasks) {
@@ -81,4 +87,32 @@
     assertEquals(3, put(packing, spread));
     assertEquals(0, packing.put(spread, 1, new HashMap<>(Map.of("a", 3)), 3));
   }
+
+  private static MachineType cpuMachine(String name, double price, String... zones) {
+    ImmutableList<String> where = ImmutableList.copyOf(zones);
+    return new MachineType(name, new Resources(8, 0, 64), 50, 2, price, price, 4, where);
+  }
+
+  private static List<String> rented(Packing packing) {
+    return packing.toRent().stream().map(bin -> bin.kind.type() + bin.kind.zone()).toList();
+  }
+
+  /** Where half of the machines of a kind are overdue another zone or type takes its place. */
+  @Test
+  void kindsThatComeUpLateAreRentedLast() {
+    Cloud.Kind late = new Cloud.Kind("c8", "a", false);
+    MachineType cheap = cpuMachine("c8", 1, "a", "b");
+    Packing zones = packing(Set.of(late), cheap);
+    gpuBin.left = Resources.NONE;
+    put(zones, cpuService(24));
+    assertEquals(List.of("c8b", "c8b", "c8b"), rented(zones));
+    MachineType other = cpuMachine("d8", 1.5, "a");
+    Packing types = packing(Set.of(late), cpuMachine("c8", 1, "a"), other);
+    put(types, cpuService(8));
+    assertEquals(List.of("d8a"), rented(types));
+    MachineType dear = cpuMachine("d8", 3, "a");
+    Packing prices = packing(Set.of(late), cpuMachine("c8", 1, "a"), dear);
+    put(prices, cpuService(8));
+    assertEquals(List.of("c8a"), rented(prices), "the other costs more than the wait");
+  }
 }
