--- a/src/main/java/eiderfork/core/Drain.java
+++ b/src/main/java/eiderfork/core/Drain.java
@@ -159,7 +159,7 @@
         || m.placed.isEmpty()
         || fleet.type(m) == null
         || !liveness.usable(m)
-        || context.nowMs - m.sinceMs < Planner.MIN_CHARGE_MS
+        || context.nowMs - m.sinceMs < UnneededMachines.MIN_CHARGE_MS
         || !bin.left.equals(m.free())
         || bin.left.shareOf(bin.room) < 1 - MOST_USED) {
       return false;
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -1,8 +1,5 @@
 package eiderfork.core;
 
-import com.google.common.collect.HashMultiset;
-import com.google.common.collect.ImmutableList;
-import com.google.common.collect.Multiset;
 import eiderfork.core.context.Context;
 import eiderfork.core.state.StateGate;
 import eiderfork.model.Job;
@@ -11,51 +8,24 @@
 import eiderfork.model.Record;
 import eiderfork.model.Resources;
 import eiderfork.model.Team;
-import it.unimi.dsi.fastutil.objects.Reference2ObjectOpenHashMap;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeMap;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Plans the fleet: packs what waits, and the arrivals to be ready for, onto the machines that are
  * up or on their way, rents for what is left over and returns what nothing was packed on.
  */
 final class Planner {
-  private static final Logger LOG = LoggerFactory.getLogger(Planner.class);
-
-  /** A boot that takes this many times the usual is not counted on any more. */
-  private static final double LATE_BOOT = 2.0;
-
-  /** A boot that takes this many times the usual will not end. */
-  private static final double FAILED_BOOT = 4.0;
-
   /** The most machines that the protocol lets one rent ask for. */
   private static final int RENT_MOST = 50;
 
-  /**
-   * A machine that nobody hears is given this many leases before it is returned. What hangs or is
-   * cut off is mostly back before another would have booted, and its tasks are placed anew after
-   * the first of them whatever becomes of it. Returned at once, seven machines that hung for 20 s
-   * were missing for a boot time on top. It gets the time that another would take to boot beside
-   * that: of a zone cut off for longer than two leases all machines were once given back. One that
-   * has died is known from the cloud's list by then.
-   */
-  private static final int SILENCE_LEASES = 2;
-
   /** How long a job that seems to fail everywhere looks for room before a machine is rented. */
   private static final int SUSPECT_RENT_LEASES = 3;
 
-  /** A returned machine costs this long at least. */
-  static final long MIN_CHARGE_MS = 60_000;
-
   /** The time that arrivals are remembered for, in boot times of the machines they need. */
   private static final double MEMORY_BOOTS = 2;
 
@@ -77,7 +47,6 @@
   }
 
   private final Context context;
-  private final StateGate gate;
   private final JobTable jobs;
   private final Fleet fleet;
   private final MachineLiveness liveness;
@@ -86,9 +55,11 @@
   private final Placer placer;
   private final Drain drain;
   private final ArrayWaves waves;
+  private final BootTimes boots;
+  private final UnneededMachines unneeded;
+  private final FleetLog log;
   private final Map<String, Arrivals> arrivals = new LinkedHashMap<>();
   private long arrivalsSinceMs;
-  private long describeNextMs;
   private int examined;
 
   Planner(
@@ -101,7 +72,6 @@
       Cloud cloud,
       Placer placer) {
     this.context = context;
-    this.gate = gate;
     this.jobs = jobs;
     this.fleet = fleet;
     this.liveness = liveness;
@@ -110,6 +80,9 @@
     this.placer = placer;
     drain = new Drain(context, fleet, liveness, placer);
     waves = new ArrayWaves(context);
+    boots = new BootTimes(context);
+    unneeded = new UnneededMachines(context, fleet, liveness, lapses, cloud, boots);
+    log = new FleetLog(context, gate, jobs, fleet, liveness);
   }
 
   void clear() {
@@ -132,7 +105,8 @@
 
   void plan() {
     List<JobEntry> ranked = placer.ranked();
-    Packing packing = new Packing(context, fleet, cloud, placer.gpuBalance(), bins(), lateKinds());
+    Packing packing =
+        new Packing(context, fleet, cloud, placer.gpuBalance(), bins(), boots.lateKinds(fleet));
     Map<String, Resources> used = new HashMap<>();
     for (JobEntry entry : ranked) {
       if (entry.aborted || entry.aborting || context.nowMs < entry.failures.notBeforeMs()) {
@@ -143,56 +117,10 @@
     packSuspected(packing);
     arrivals.values().forEach(a -> packHeadroom(a, packing));
     examined = packing.examined();
-    describe();
+    log.tell(placer.examined(), examined);
     rent(packing.toRent());
     drain.plan(packing, !packing.toRent().isEmpty());
-    giveBack(packing.known());
-  }
-
-  /** Says now and then how full the fleet is and who waits, so that a log can be read later. */
-  private void describe() {
-    if (context.nowMs < describeNextMs) {
-      return;
-    }
-    describeNextMs = context.nowMs + context.leaseMs();
-    Map<String, int[]> kinds = new TreeMap<>();
-    for (MachineEntry m : fleet.machines()) {
-      if (m.machine == null || m.room == null) {
-        continue;
-      }
-      int[] n =
-          kinds.computeIfAbsent(
-              m.machine.type() + (m.machine.spot() ? " spot" : ""), k -> new int[4]);
-      n[0]++;
-      n[1] += liveness.usable(m) ? 1 : 0;
-      n[2] += (int) (m.free().gpus() > 0 ? m.free().gpus() : 0);
-      n[3] += (int) (m.free().cpus() > 0 ? m.free().cpus() : 0);
-    }
-    Map<String, int[]> classes = new TreeMap<>();
-    for (JobEntry entry : jobs.active()) {
-      int[] n = classes.computeIfAbsent(entry.job.jobClass(), k -> new int[2]);
-      n[0] += entry.placed.size();
-      n[1] += entry.waiting.cardinality();
-    }
-    StringBuilder text = new StringBuilder();
-    kinds.forEach(
-        (kind, n) ->
-            text.append(kind)
-                .append(" ")
-                .append(n[0])
-                .append(" (")
-                .append(n[1])
-                .append(" usable, free gpus ")
-                .append(n[2])
-                .append(" cpus ")
-                .append(n[3])
-                .append("), "));
-    classes.forEach(
-        (name, n) ->
-            text.append(name).append(" ").append(n[0]).append("+").append(n[1]).append(" "));
-    LOG.info("fleet: {}", text);
-    LOG.info("writes that went out: {}", gate.tellWaits());
-    LOG.info("looked at machines {} times to place, {} to plan", placer.examined(), examined);
+    unneeded.giveBack(packing.known());
   }
 
   private List<Bin> bins() {
@@ -202,7 +130,7 @@
         continue;
       }
       MachineType type = fleet.type(m);
-      boolean coming = m.report == null && type != null && !overdue(m, type, LATE_BOOT);
+      boolean coming = m.report == null && type != null && !boots.isLate(m, type);
       if (coming || liveness.usable(m)) {
         Cloud.Kind kind = new Cloud.Kind(m.machine.type(), m.machine.zone(), m.machine.spot());
         bins.add(new Bin(m, kind, m.room, m.free()));
@@ -221,30 +149,6 @@
     return bins;
   }
 
-  /** The kinds of machine of which half of those rented lately should be up by now and are not. */
-  private Set<Cloud.Kind> lateKinds() {
-    Multiset<Cloud.Kind> recent = HashMultiset.create();
-    Multiset<Cloud.Kind> late = HashMultiset.create();
-    for (MachineEntry m : fleet.machines()) {
-      MachineType type = fleet.type(m);
-      if (m.returning || type == null || isOld(m, type)) {
-        continue;
-      }
-      Cloud.Kind kind = new Cloud.Kind(m.machine.type(), m.machine.zone(), m.machine.spot());
-      recent.add(kind);
-      if (m.report == null && overdue(m, type, LATE_BOOT)) {
-        late.add(kind);
-      }
-    }
-    Set<Cloud.Kind> kinds = new HashSet<>(late.elementSet());
-    kinds.removeIf(kind -> late.count(kind) * 2 < recent.count(kind));
-    return kinds;
-  }
-
-  private boolean isOld(MachineEntry m, MachineType type) {
-    return context.nowMs - m.sinceMs > FAILED_BOOT * type.bootS() * 1000;
-  }
-
   private void packHeadroom(Arrivals a, Packing packing) {
     int ready = headroom(a);
     int zoneMost = a.sample.spread() ? (ready + 1) / 2 : ready;
@@ -354,75 +258,4 @@
       left -= RENT_MOST;
     }
   }
-
-  private void giveBack(List<Bin> bins) {
-    Map<MachineEntry, Bin> packed = new Reference2ObjectOpenHashMap<>();
-    for (Bin bin : bins) {
-      if (bin.machine != null && bin.machine.placed.isEmpty()) {
-        packed.put(bin.machine, bin);
-      }
-    }
-    int silent = 0;
-    int live = 0;
-    for (MachineEntry m : fleet.machines()) {
-      if (m.report != null) {
-        live++;
-        silent += liveness.heard(m) ? 0 : 1;
-      }
-    }
-    // When most are silent at once it is this node that is cut off, not they that are lost.
-    boolean believe = silent * 2 <= live;
-    for (MachineEntry m : ImmutableList.copyOf(fleet.machines())) {
-      if (m.returning || m.machine == null) {
-        continue;
-      }
-      MachineType type = fleet.type(m);
-      double bootMs = type == null ? 0 : type.bootS() * 1000;
-      long ageMs = context.nowMs - m.sinceMs;
-      if (m.faulty) {
-        cloud.returns().giveBack(m, "faulty");
-      } else if (m.report == null) {
-        if (type != null && overdue(m, type, FAILED_BOOT)) {
-          cloud.returns().giveBackSilent(m, "it does not come up");
-        }
-      } else if (believe
-          && !lapses.proxied(m)
-          && liveness.silentForMs(m) > SILENCE_LEASES * context.leaseMs() + bootMs) {
-        cloud.returns().giveBackSilent(m, "it is silent");
-      } else if (believe && liveness.heard(m) && liveness.deaf(m) && deafTooLong(m)) {
-        cloud.returns().giveBack(m, "commands do not reach it");
-      } else if (m.placed.isEmpty() && m.tasks().isEmpty()) {
-        Bin bin = packed.get(m);
-        boolean needed = bin != null && !bin.left.equals(m.room);
-        if (m.draining) {
-          cloud.returns().giveBack(m, "drained");
-        } else if (needed) {
-          m.idleSinceMs = 0;
-        } else if (m.idleSinceMs == 0) {
-          m.idleSinceMs = context.nowMs;
-        } else if (context.nowMs - m.idleSinceMs > bootMs * context.settings.operator().idleShare()
-            && ageMs > MIN_CHARGE_MS) {
-          cloud.returns().giveBack(m, "idle");
-        }
-      } else {
-        m.idleSinceMs = 0;
-      }
-    }
-  }
-
-  /**
-   * Whether a machine that has not reported in this term should have. One that is up may only not
-   * have found a new leader yet: it has some leases' time for that, whatever its age. Without this
-   * a new leader returned healthy machines in its first seconds.
-   */
-  private boolean overdue(MachineEntry m, MachineType type, double boots) {
-    return m.upMs > 0
-        ? context.nowMs - m.upMs
-            > SILENCE_LEASES * context.leaseMs() + (boots == FAILED_BOOT ? type.bootS() * 1000 : 0)
-        : context.nowMs - m.sinceMs > type.bootS() * 1000 * boots;
-  }
-
-  private boolean deafTooLong(MachineEntry m) {
-    return context.nowMs - m.deafSinceMs > context.leaseMs();
-  }
 }
