A takeover's suspicion of an array is soon disproved

Cause: read in the code. A new leader suspects an array of four attempts of which nothing is done or reserved; one that was stopped for others again and again looks the same, and waited for a whole run of one task, and rented nothing meanwhile. Change: a task that runs for eight steps disproves it, and machines are rented for it until this leader sees a failure. All tests pass; FailureHistoryTest names the cases.

--- a/src/main/java/eiderfork/core/FailureHistory.java
+++ b/src/main/java/eiderfork/core/FailureHistory.java
@@ -30,6 +30,9 @@
   /** A new leader suspects a job of this many attempts, see {@link #restored}. */
   private static final int SUSPECT_ATTEMPTS = 4;
 
+  /** What a task is taken to run before it fails where no leader of now has seen one fail. */
+  private static final int INHERITED_RUN_STEPS = 4;
+
   /** A task that runs for this many times what others ran before they failed does well. */
   private static final int SURVIVAL_FACTOR = 2;
 
@@ -47,6 +50,10 @@
   private long longestRunMs;
   private long lastFailureMs;
   private boolean suspected;
+
+  /** Suspected for what an earlier leader left, and not for failures that this one has seen. */
+  private boolean inherited;
+
   private long notBeforeMs;
 
   FailureHistory(long stepMs) {
@@ -71,6 +78,7 @@
       countedAttempt = lastAttempt;
     }
     suspected |= failedTries >= SUSPECT_MACHINES && machines.size() >= SUSPECT_MACHINES;
+    inherited = false;
     if (suspected) {
       notBeforeMs = Math.max(notBeforeMs, nowMs + delayMs(failedTries));
     }
@@ -84,6 +92,7 @@
   /** A task of the job does well: the job is not at fault as a whole. */
   void succeeded() {
     failedTries = 0;
+    inherited = false;
     if (suspected) {
       suspected = false;
       notBeforeMs = 0;
@@ -104,6 +113,7 @@
     boolean seemsOnTrial = alloc.finished().isEmpty() && reserved <= 1 && reserved < tasks;
     if (seemsOnTrial && lastAttempt >= SUSPECT_ATTEMPTS) {
       suspected = true;
+      inherited = true;
       failedTries = (int) Math.min(lastAttempt, MOST_DOUBLINGS + 1);
     }
   }
@@ -119,12 +129,21 @@
 
   /**
    * Whether a task that runs since then has outlived those that failed. A new leader has seen none
-   * of them fail, and goes by the job's estimate.
+   * of them fail: an array that was stopped for others again and again looks like one that fails,
+   * so a while is enough.
    */
   boolean outlived(Reservation p, long nowMs) {
-    long seenMs = longestRunMs > 0 ? longestRunMs : (long) (p.job.job.estimateS() * 1000);
+    long failedMs = longestRunMs > 0 ? longestRunMs : INHERITED_RUN_STEPS * stepMs;
     return p.runningSinceMs > 0
-        && nowMs - p.runningSinceMs > SURVIVAL_FACTOR * Math.max(seenMs, stepMs);
+        && nowMs - p.runningSinceMs > SURVIVAL_FACTOR * Math.max(failedMs, stepMs);
+  }
+
+  /**
+   * Whether failures that this leader has seen make the job a suspect, so that nothing is rented
+   * for it.
+   */
+  boolean isProvenSuspect() {
+    return suspected && !inherited;
   }
 
   /** Before this time nothing of the job is tried. */
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -174,7 +174,7 @@
    * tried where there is room, and gets a machine for one task only after it found none for long.
    */
   private int wanted(JobEntry entry) {
-    if (entry.failures.isSuspected()) {
+    if (entry.failures.isProvenSuspect()) {
       long sinceMs = context.nowMs - entry.failures.notBeforeMs();
       return entry.placed.isEmpty() && sinceMs > SUSPECT_RENT_LEASES * context.leaseMs() ? 1 : 0;
     }
--- /dev/null
+++ b/src/test/java/eiderfork/core/FailureHistoryTest.java
@@ -0,0 +1,104 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.Record;
+import eiderfork.model.Resources;
+import org.junit.jupiter.api.Test;
+
+/** How failures of a job's tasks are counted. */
+class FailureHistoryTest {
+  private static final long STEP_MS = 1000;
+  private static final int TASKS = 8;
+
+  private final FailureHistory history = new FailureHistory(STEP_MS);
+  private final Job job =
+      Samples.sized(Samples.job(1, JobKind.ARRAY, TASKS, 1), new Resources(1, 1, 4), 300, "g4");
+  private final JobEntry entry = Samples.entry(job);
+
+  private Reservation reservation(int index, long attempt, String machine) {
+    MachineEntry on = new MachineEntry(machine, 1, new MachineSets(), 0);
+    return new Reservation(entry, index, attempt, on);
+  }
+
+  private void fails(int index, long attempt, String machine, long nowMs) {
+    history.failed(reservation(index, attempt, machine), attempt, nowMs);
+  }
+
+  private static Record.Alloc attempts(long last) {
+    return new Record.Alloc(last, false, ImmutableList.of(), ImmutableList.of());
+  }
+
+  @Test
+  void tasksOfOneTryCountOnce() {
+    for (int index = 0; index < TASKS; index++) {
+      fails(index, 1, "n-1", 10);
+    }
+    assertFalse(history.isSuspected());
+    assertEquals(0, history.notBeforeMs(), "the job may go on elsewhere");
+    assertFalse(history.mayRetry(0, 500));
+    assertTrue(history.mayRetry(0, 10 + STEP_MS));
+  }
+
+  @Test
+  void twoTriesOnTwoMachinesMakeASuspectWhoseDelayGrowsToABound() {
+    long delayMs = 0;
+    for (int attempt = 1; attempt <= 12; attempt++) {
+      long nowMs = attempt * 100_000L;
+      fails(0, attempt, "n-" + attempt % 4, nowMs);
+      assertEquals(attempt >= 2, history.isProvenSuspect());
+      long nextMs = Math.max(0, history.notBeforeMs() - nowMs);
+      assertTrue(nextMs >= delayMs && nextMs <= 32 * STEP_MS, nextMs + " ms");
+      delayMs = nextMs;
+    }
+    assertEquals(32 * STEP_MS, delayMs);
+    history.succeeded();
+    assertFalse(history.isSuspected());
+    assertEquals(0, history.notBeforeMs());
+  }
+
+  /** Arrays that were stopped for others again and again look alike to a new leader. */
+  @Test
+  void whatANewLeaderOnlyPresumesIsSoonDisproved() {
+    history.restored(attempts(30), TASKS);
+    assertTrue(history.isSuspected());
+    assertFalse(history.isProvenSuspect(), "machines are rented for it");
+    Reservation trial = reservation(0, 31, "n-1");
+    trial.runningSinceMs = 1000;
+    assertFalse(history.outlived(trial, 1000 + 5 * STEP_MS));
+    assertTrue(history.outlived(trial, 1000 + 10 * STEP_MS), "not after a whole run only");
+  }
+
+  @Test
+  void aNewLeaderThatSeesItFailNeedsNoFurtherTry() {
+    history.restored(attempts(30), TASKS);
+    fails(0, 31, "n-1", 5000);
+    assertTrue(history.isProvenSuspect());
+    assertTrue(history.notBeforeMs() >= 5000 + 32 * STEP_MS);
+  }
+
+  @Test
+  void anArrayOfWhichSomethingIsDoneIsNoSuspectToANewLeader() {
+    Record.Alloc some =
+        new Record.Alloc(30, false, ImmutableList.of(), ImmutableList.of(new Record.Range(0, 0)));
+    history.restored(some, TASKS);
+    assertFalse(history.isSuspected());
+  }
+
+  @Test
+  void aMachineIsAvoidedForAWhileAndNotOnceTheJobIsAtFault() {
+    fails(0, 1, "n-1", 1000);
+    assertTrue(history.avoids("n-1", 2000));
+    assertFalse(history.avoids("n-2", 2000));
+    assertFalse(history.avoids("n-1", 1000 + 31 * STEP_MS), "others may be full for ever");
+    fails(0, 2, "n-2", 2000);
+    fails(0, 3, "n-3", 3000);
+    assertFalse(history.avoids("n-1", 3000));
+    assertTrue(history.isJobAtFault());
+  }
+}
