A test of spared GPUs that fails without them

Seen: idleWorkDoesNotTakeWhatWaitingGpuWorkStillLacks fails with the guard taken out, and passes with it.

--- a/src/test/java/eiderfork/core/SparedGpusTest.java
+++ b/src/test/java/eiderfork/core/SparedGpusTest.java
@@ -43,6 +43,26 @@
     assertEquals(List.of(), world.checker.breaches);
   }
 
+  /** Guests that came later took what the end of the earlier ones left too little without. */
+  @Test
+  void idleWorkDoesNotTakeWhatWaitingGpuWorkStillLacks() {
+    World world = new World(5);
+    world.cloud.stock.put(new Cloud.Kind("g4", "a", false), 1);
+    world.cloud.stock.put(new Cloud.Kind("g4", "b", false), 0);
+    world.cloud.stock.put(new Cloud.Kind("g4", "a", true), 0);
+    world.cloud.stock.put(new Cloud.Kind("g4", "b", true), 0);
+    world.submit(array(1, 4, new Resources(2, 0, 2), 20));
+    world.run(14);
+    Job waits = array(2, 1, new Resources(12, 4, 4), 10);
+    world.submit(waits);
+    world.run(1);
+    Job guest = array(3, 8, new Resources(1, 0, 1), 100);
+    world.submit(guest);
+    world.run(35);
+    assertTrue(world.checker.isDone(waits.uid()), "it waited for the guest");
+    assertEquals(List.of(), world.checker.breaches);
+  }
+
   /** While no GPU work waits, the processors are there for anybody. */
   @Test
   void idleWorkTakesThemWhereNoGpuWorkWaits() {
