A lease belongs to one session; tasks of the next one outlive it

Cause: the leader counted a worker's lease from its last answer to a report, whichever session that report was of, and settled all that was reserved on the machine when that was over. A worker that is cut off for a lease and reached by direct commands alone is in a new session by then, with a lease of its own, and the leader had started the tasks anew in it. They went on while the leader started them elsewhere. The class: a right kept of one session and applied to the next.

Change: WorkerSession holds the session and from when its lease may run: the last answer or, where that is later, the first sight of the session, by report or by a direct answer. A read of the lease proxies' records settles only the lease that had lapsed before the read. Nothing is placed or started where the lease may be over.

--- a/src/main/java/eiderfork/core/BootTimes.java
+++ b/src/main/java/eiderfork/core/BootTimes.java
@@ -63,7 +63,7 @@
       }
       Cloud.Kind kind = new Cloud.Kind(m.machine.type(), m.machine.zone(), m.machine.spot());
       recent.add(kind);
-      if (m.report == null && isLate(m, type)) {
+      if (m.report() == null && isLate(m, type)) {
         late.add(kind);
       }
     }
--- a/src/main/java/eiderfork/core/Fleet.java
+++ b/src/main/java/eiderfork/core/Fleet.java
@@ -8,6 +8,7 @@
 import eiderfork.model.Machine;
 import eiderfork.model.MachineType;
 import eiderfork.model.Record;
+import eiderfork.model.Report;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
 import java.util.ArrayList;
@@ -30,11 +31,11 @@
   private final MachineSets sets = new MachineSets();
   private int lastNumber;
 
-  /** Machines never answered in this term, and the others in the order of their last answers. */
-  private final ReferenceLinkedOpenHashSet<MachineEntry> unanswered =
+  /** Machines not seen in this term, and the others in the order in which their leases began. */
+  private final ReferenceLinkedOpenHashSet<MachineEntry> unseen =
       new ReferenceLinkedOpenHashSet<>();
 
-  private final ReferenceLinkedOpenHashSet<MachineEntry> answered =
+  private final ReferenceLinkedOpenHashSet<MachineEntry> byLease =
       new ReferenceLinkedOpenHashSet<>();
 
   /**
@@ -60,8 +61,8 @@
     machines.clear();
     byNumber.clear();
     sets.clear();
-    unanswered.clear();
-    answered.clear();
+    unseen.clear();
+    byLease.clear();
     gone.clear();
   }
 
@@ -99,16 +100,33 @@
 
   /** A report of the machine is answered now, which may renew its worker's lease. */
   void answered(MachineEntry m) {
-    m.answeredMs = context.nowMs;
-    unanswered.remove(m);
-    answered.addAndMoveToLast(m);
+    m.session.renewed(context.nowMs);
+    movedToLast(m);
   }
 
-  /** The machines whose last answer is longer ago than that, or that had none in this term. */
-  List<MachineEntry> unansweredFor(long ms) {
-    List<MachineEntry> found = new ArrayList<>(unanswered);
-    for (MachineEntry m : answered) {
-      if (context.nowMs - m.answeredMs <= ms) {
+  /**
+   * Takes a machine's newest report, whose session may be a new one with a lease of its own.
+   *
+   * @return whether it is the first that is seen of its session
+   */
+  boolean reported(MachineEntry m, Report newest) {
+    boolean firstOfSession = m.reported(newest, context.nowMs);
+    if (firstOfSession) {
+      movedToLast(m);
+    }
+    return firstOfSession;
+  }
+
+  private void movedToLast(MachineEntry m) {
+    unseen.remove(m);
+    byLease.addAndMoveToLast(m);
+  }
+
+  /** The machines whose lease was not renewed for that long, or that were not seen in this term. */
+  List<MachineEntry> notRenewedFor(long ms) {
+    List<MachineEntry> found = new ArrayList<>(unseen);
+    for (MachineEntry m : byLease) {
+      if (context.nowMs - m.session.leaseFromMs() <= ms) {
         break;
       }
       found.add(m);
@@ -158,7 +176,7 @@
     MachineEntry m = new MachineEntry(name, ++lastNumber, sets, context.nowMs);
     byNumber.put(m.number, m);
     sets.added(m);
-    unanswered.add(m);
+    unseen.add(m);
     return m;
   }
 
@@ -185,8 +203,8 @@
     machines.remove(m.name);
     byNumber.remove(m.number);
     sets.removed(m);
-    unanswered.remove(m);
-    answered.remove(m);
+    unseen.remove(m);
+    byLease.remove(m);
     gone.put(m.name, context.nowMs);
   }
 
@@ -220,7 +238,7 @@
       m.listed = true;
       m.aliveMs = Math.max(m.aliveMs, describesMs);
       m.sinceMs = Math.min(m.sinceMs, context.nowMs - (long) (entry.ageS() * 1000));
-      m.booting = m.report == null && entry.state() == HostEntry.State.BOOTING;
+      m.booting = m.report() == null && entry.state() == HostEntry.State.BOOTING;
       if (entry.state() == HostEntry.State.RUNNING && m.upMs == 0) {
         m.upMs = context.nowMs;
       }
--- a/src/main/java/eiderfork/core/Hearing.java
+++ b/src/main/java/eiderfork/core/Hearing.java
@@ -88,7 +88,7 @@
     int heard = 0;
     int tasked = 0;
     for (MachineEntry m : fleet.machines()) {
-      if (m.report != null && !m.returning) {
+      if (m.report() != null && !m.returning) {
         known++;
         heard += liveness.heard(m) ? 1 : 0;
       }
--- a/src/main/java/eiderfork/core/LeaseLapses.java
+++ b/src/main/java/eiderfork/core/LeaseLapses.java
@@ -21,6 +21,17 @@
   /** The same where its whole zone can't be reached, for lease proxies take until then to begin. */
   private static final double APART_SUSPECT_SHARE = 0.75;
 
+  /** A lease that has lapsed, and from when it ran. */
+  private record Lapse(MachineEntry machine, long leaseFromMs) {
+    /**
+     * Whether it is still the machine's lease. Of one that began later, and may have lapsed by now,
+     * an older read of the records says nothing.
+     */
+    boolean stands() {
+      return machine.session.leaseFromMs() == leaseFromMs;
+    }
+  }
+
   private final Context context;
   private final Fleet fleet;
   private final Peers peers;
@@ -73,19 +84,19 @@
     if (readingProxied || context.nowMs < readProxiedNotBeforeMs) {
       return;
     }
-    List<MachineEntry> over = new ArrayList<>();
+    List<Lapse> over = new ArrayList<>();
     boolean silent = false;
     long suspectMs = (long) (context.leaseMs() * SUSPECT_SHARE);
-    for (MachineEntry m : fleet.unansweredFor(suspectMs)) {
+    for (MachineEntry m : fleet.notRenewedFor(suspectMs)) {
       if (!m.placed.isEmpty()) {
         if (lapsed(m)) {
-          over.add(m);
+          over.add(new Lapse(m, m.session.leaseFromMs()));
         }
-        silent |= m.report != null && liveness.silentForMs(m) > suspectMs;
+        silent |= m.report() != null && liveness.silentForMs(m) > suspectMs;
       }
     }
     if (!mayBeProxied()) {
-      over.forEach(this::settle);
+      over.forEach(lapse -> settle(lapse.machine));
     } else if (silent || !over.isEmpty()) {
       readingProxied = true;
       readProxiedNotBeforeMs = context.nowMs + context.stepMs() / 2;
@@ -100,7 +111,7 @@
   }
 
   /** What was read after the leases in {@code over} had lapsed as far as this node knows. */
-  private void proxied(List<MachineEntry> over, Set<String> names) {
+  private void proxied(List<Lapse> over, Set<String> names) {
     readingProxied = false;
     if (names == null) {
       return;
@@ -111,8 +122,9 @@
         m.proxiedMs = context.nowMs;
       }
     }
-    for (MachineEntry m : over) {
-      if (fleet.get(m.name) == m && !names.contains(m.name) && lapsed(m)) {
+    for (Lapse lapse : over) {
+      MachineEntry m = lapse.machine;
+      if (fleet.get(m.name) == m && !names.contains(m.name) && lapse.stands()) {
         settle(m);
       }
     }
@@ -131,17 +143,14 @@
    * unplaced until the cut was over.
    */
   boolean lapsed(MachineEntry m) {
-    long renewedMs = m.answeredMs;
-    if (context.nowMs - renewedMs <= context.leaseMs()) {
+    if (!m.session.mayBeOver(context.nowMs, context.leaseMs())) {
       return false;
     }
-    if (!liveness.shown(m)) {
-      long overMs = peers.olderTermsOverMs();
-      if (overMs == Long.MAX_VALUE) {
-        return false;
-      }
-      renewedMs = Math.max(renewedMs, overMs);
+    long olderTermsMs = liveness.shown(m) ? 0 : peers.olderTermsOverMs();
+    if (olderTermsMs == Long.MAX_VALUE) {
+      return false;
     }
-    return context.nowMs - renewedMs > Context.surely(context.leaseMs()) + context.stepMs() / 2;
+    return m.session.isSurelyOver(
+        context.nowMs, context.leaseMs(), olderTermsMs, context.stepMs() / 2);
   }
 }
--- a/src/main/java/eiderfork/core/MachineEntry.java
+++ b/src/main/java/eiderfork/core/MachineEntry.java
@@ -38,8 +38,8 @@
   /** What no reservation takes; null while the room is not known. */
   private Resources free;
 
-  /** The newest report of this term, null before the first. Changed by {@link #reported} alone. */
-  Report report;
+  /** The worker's session and its lease; changed by {@link #reported} and {@link Fleet} alone. */
+  final WorkerSession session = new WorkerSession();
 
   /** The token that commands go out with now. */
   long token;
@@ -47,12 +47,6 @@
   /** The largest token that a start was sent with in direct commands; 0 for none. */
   long directToken;
 
-  /** When the newest report came; 0 for never in this term. */
-  long heardMs;
-
-  /** When a report was last answered, so that the worker's lease may have been renewed. */
-  long answeredMs;
-
   /** When a record was last seen by which another node answers its worker; 0 for never. */
   long proxiedMs;
 
@@ -138,8 +132,9 @@
     return machine == null ? null : machine.addr();
   }
 
-  long session() {
-    return report == null ? 0 : report.session();
+  /** The newest report of this term, null before the first. */
+  Report report() {
+    return session.report();
   }
 
   /** Takes what is known from the rent alone; the address comes with the first report or list. */
@@ -155,20 +150,25 @@
     sets.roomIndex().grew(this);
   }
 
-  /** Takes the newest report. */
-  void reported(Report newest) {
-    boolean first = report == null;
-    report = newest;
-    if (first) {
+  /**
+   * Takes the newest report.
+   *
+   * @return whether it is the first that is seen of its session
+   */
+  boolean reported(Report newest, long nowMs) {
+    boolean firstOfAll = report() == null;
+    boolean firstOfSession = session.take(newest, nowMs);
+    if (firstOfAll) {
       freeChanged();
       sets.roomIndex().grew(this);
     }
+    return firstOfSession;
   }
 
   private void freeChanged() {
     agrees = false;
     free = room == null ? null : room.minus(taken);
-    if (report != null && room != null && machine != null) {
+    if (report() != null && room != null && machine != null) {
       sets.roomIndex().put(this);
     }
   }
@@ -220,7 +220,7 @@
   }
 
   ImmutableList<eiderfork.model.TaskReport> tasks() {
-    return report == null ? ImmutableList.of() : report.tasks();
+    return report() == null ? ImmutableList.of() : report().tasks();
   }
 
   /** Notes that a task with this image was put here; the least recently used ones fall out. */
--- a/src/main/java/eiderfork/core/MachineLiveness.java
+++ b/src/main/java/eiderfork/core/MachineLiveness.java
@@ -28,16 +28,16 @@
 
   /** Whether the worker takes this term's commands, so that no older leader can reach it. */
   boolean shown(MachineEntry m) {
-    return m.report != null && m.report.token() >= term.firstToken();
+    return m.report() != null && m.report().token() >= term.firstToken();
   }
 
   boolean heard(MachineEntry m) {
-    return m.heardMs > 0 && context.nowMs - m.heardMs <= silentMs();
+    return m.session.heardMs() > 0 && context.nowMs - m.session.heardMs() <= silentMs();
   }
 
   /** How long ago the machine last reported or was answered in this term. */
   long silentForMs(MachineEntry m) {
-    return context.nowMs - Math.max(m.heardMs, m.answeredMs);
+    return context.nowMs - Math.max(m.session.heardMs(), m.session.leaseFromMs());
   }
 
   /** Reports come but commands do not arrive. */
@@ -45,9 +45,16 @@
     return m.deafSinceMs > 0 && context.nowMs - m.deafSinceMs > silentMs();
   }
 
-  /** Whether tasks may be placed here. */
+  /**
+   * Whether tasks may be placed here. A worker that is reached by direct commands alone is heard
+   * after its lease has lapsed; what started then was settled with what the lapse has ended.
+   */
   boolean usable(MachineEntry m) {
-    return inService(m) && heard(m) && !deaf(m) && m.unanswered < 2;
+    return inService(m) && heard(m) && !deaf(m) && m.unanswered < 2 && !leaseMayBeOver(m);
+  }
+
+  private boolean leaseMayBeOver(MachineEntry m) {
+    return m.session.mayBeOver(context.nowMs, context.leaseMs());
   }
 
   /**
@@ -65,6 +72,6 @@
         && !m.returning
         && !m.draining
         && !m.faulty
-        && m.report.noticeS() == null;
+        && m.report().noticeS() == null;
   }
 }
--- a/src/main/java/eiderfork/core/MachineRents.java
+++ b/src/main/java/eiderfork/core/MachineRents.java
@@ -161,7 +161,7 @@
             for (String name : rented.machines()) {
               if (!fleet.isGone(name)) {
                 MachineEntry m = fleet.known(name);
-                m.booting = m.report == null;
+                m.booting = m.report() == null;
                 m.aliveMs = context.nowMs;
                 if (m.machine == null) {
                   m.rentedAs(kind, fleet.types().get(kind.type()));
--- a/src/main/java/eiderfork/core/MachineReturns.java
+++ b/src/main/java/eiderfork/core/MachineReturns.java
@@ -148,7 +148,7 @@
 
   private boolean revive(String name) {
     MachineEntry m = fleet.get(name);
-    if (m == null || m.returnedSilentMs == 0 || m.heardMs <= m.returnedSilentMs) {
+    if (m == null || m.returnedSilentMs == 0 || m.session.heardMs() <= m.returnedSilentMs) {
       return false;
     }
     LOG.info("keeping {}: it is heard again", name);
--- a/src/main/java/eiderfork/core/Planner.java
+++ b/src/main/java/eiderfork/core/Planner.java
@@ -130,7 +130,7 @@
         continue;
       }
       MachineType type = fleet.type(m);
-      boolean coming = m.report == null && type != null && !boots.isLate(m, type);
+      boolean coming = m.report() == null && type != null && !boots.isLate(m, type);
       if (coming || liveness.usable(m)) {
         Cloud.Kind kind = new Cloud.Kind(m.machine.type(), m.machine.zone(), m.machine.spot());
         bins.add(new Bin(m, kind, m.room, m.free()));
@@ -189,7 +189,7 @@
     List<MachineEntry> suspected = new ArrayList<>();
     int live = 0;
     for (MachineEntry m : fleet.machines()) {
-      if (m.report != null && !m.returning) {
+      if (m.report() != null && !m.returning) {
         live++;
         if (lapses.suspected(m)) {
           suspected.add(m);
--- a/src/main/java/eiderfork/core/ReportReconciler.java
+++ b/src/main/java/eiderfork/core/ReportReconciler.java
@@ -37,7 +37,7 @@
 
   /** Brings the reservations up to what the newest report shows. */
   void reconcile(MachineEntry m) {
-    if (m.report == null) {
+    if (m.report() == null) {
       return;
     }
     Map<Attempt, TaskReport> shown = new HashMap<>();
@@ -89,8 +89,8 @@
       // An older leader has begun to stop the gang; tasks that are not told in time lose the save.
       p.job.gang.save();
       jobs.changed(p.job);
-    } else if (m.report.noticeS() != null && p.seen == TaskReport.State.RUNNING && p.wanted()) {
-      p.job.gang.machineNoticed(m.report.noticeS());
+    } else if (m.report().noticeS() != null && p.seen == TaskReport.State.RUNNING && p.wanted()) {
+      p.job.gang.machineNoticed(m.report().noticeS());
       jobs.changed(p.job);
     }
   }
@@ -100,8 +100,8 @@
       return;
     }
     boolean surely =
-        m.report.session() > p.sentSession && p.sentSession > 0
-            || m.report.token() > Math.max(p.sentToken, term.firstToken() - 1);
+        m.report().session() > p.sentSession && p.sentSession > 0
+            || m.report().token() > Math.max(p.sentToken, term.firstToken() - 1);
     if (!surely) {
       if ((!p.wanted() || p.seen != null) && p.sentToken >= m.token) {
         // Outdates the unanswered start, so that its absence can be believed.
--- a/src/main/java/eiderfork/core/UnneededMachines.java
+++ b/src/main/java/eiderfork/core/UnneededMachines.java
@@ -45,7 +45,7 @@
     int silent = 0;
     int live = 0;
     for (MachineEntry m : fleet.machines()) {
-      if (m.report != null) {
+      if (m.report() != null) {
         live++;
         silent += liveness.heard(m) ? 0 : 1;
       }
@@ -61,7 +61,7 @@
       long ageMs = context.nowMs - m.sinceMs;
       if (m.faulty) {
         cloud.returns().giveBack(m, "faulty");
-      } else if (m.report == null) {
+      } else if (m.report() == null) {
         if (type != null && boots.hasFailed(m, type)) {
           cloud.returns().giveBackSilent(m, "it does not come up");
         }
--- a/src/main/java/eiderfork/core/WorkerControl.java
+++ b/src/main/java/eiderfork/core/WorkerControl.java
@@ -90,6 +90,7 @@
       m.token = term.firstToken() + 1;
     }
     fleet.answered(m);
+    noteUsable(m);
     // While direct commands are under way, the two ways could overtake each other.
     ImmutableList<Command> commands = ImmutableList.of();
     if (news && !m.agrees && !m.isCommanding()) {
@@ -137,13 +138,12 @@
 
   /** Takes a report if it is the newest; whether it was. */
   private boolean absorb(MachineEntry m, Report report) {
-    Report before = m.report;
-    if (before != null && !report.newerThan(before.session(), before.seq())) {
+    if (!m.session.isNews(report)) {
       return false;
     }
+    Report before = m.report();
     boolean sameTasks = saysNothingNew(m, report);
-    m.reported(sameTasks ? report.withTasks(before.tasks()) : report);
-    m.heardMs = context.nowMs;
+    fleet.reported(m, sameTasks ? report.withTasks(before.tasks()) : report);
     m.aliveMs = context.nowMs;
     m.booting = false;
     if (report.token() >= m.token) {
@@ -172,7 +172,7 @@
    * reports do, and nothing follows from them but that the machine is alive.
    */
   private static boolean saysNothingNew(MachineEntry m, Report report) {
-    Report before = m.report;
+    Report before = m.report();
     return m.agrees
         && report.session() == before.session()
         && report.token() == before.token()
@@ -229,7 +229,7 @@
         if (p.mayStart() && !p.job.aborting) {
           list.add(new Command.Run(p.id()));
           p.sentToken = m.token;
-          p.sentSession = m.session();
+          p.sentSession = m.session.number();
           reconciler.noteImage(m, p);
         }
       }
@@ -266,7 +266,7 @@
       if (m.addr() == null || m.isCommanding() || context.nowMs < m.commandNotBeforeMs) {
         continue;
       }
-      if (m.report == null || !liveness.shown(m)) {
+      if (m.report() == null || !liveness.shown(m)) {
         // Reached directly, so that an older leader's token ends there soon.
         if (!m.booting && context.nowMs - electedMs > context.stepMs() && free > forCommands) {
           reach(m);
@@ -284,7 +284,7 @@
 
   private void reach(MachineEntry m) {
     m.setCommanding(true);
-    if (m.report == null) {
+    if (m.report() == null) {
       context.ask(
           call -> new Effect.AskInspect(call, m.addr(), context.stepMs() * 2),
           reply -> commanded(m, reply, 0));
@@ -303,7 +303,7 @@
   }
 
   private void command(MachineEntry m) {
-    boolean raiseOnly = m.token > m.report.token();
+    boolean raiseOnly = m.token > m.report().token();
     ImmutableList<Command> commands = commands(m);
     List<Command> prompt = new ArrayList<>();
     for (Command command : commands) {
@@ -323,7 +323,7 @@
 
   private void send(MachineEntry m, ImmutableList<Command> commands) {
     long token = m.token;
-    long session = m.session();
+    long session = m.session.number();
     context.ask(
         call ->
             new Effect.AskCommands(call, m.addr(), token, session, commands, context.stepMs() * 2),
--- a/src/test/java/eiderfork/core/HearingTest.java
+++ b/src/test/java/eiderfork/core/HearingTest.java
@@ -23,6 +23,10 @@
 class HearingTest {
   private static final int MACHINES = 4;
 
+  private static final long LONG_AGO_MS = 1;
+
+  private long seq = 1;
+
   private final Context context =
       new Context(Samples.settings("roost-0"), new Random(1), 1_000_000);
   private final StateGate gate = new StateGate(context);
@@ -55,11 +59,16 @@
     assertTrue(term.leading());
     hearing.elected();
     for (int i = 0; i < MACHINES; i++) {
-      Machine machine = new Machine("n-" + i, "n-" + i + ":1", "g4", "a", false);
-      fleet.known(machine).reported(new Report(machine, 1, 1, 0, null, ImmutableList.of()));
+      Report report = report("n-" + i, 1);
+      fleet.known(report.machine()).reported(report, LONG_AGO_MS);
     }
   }
 
+  private static Report report(String name, long seq) {
+    Machine machine = new Machine(name, name + ":1", "g4", "a", false);
+    return new Report(machine, 1, seq, 0, null, ImmutableList.of());
+  }
+
   private void answer(Reply reply) {
     List<Effect.AskState> asked =
         context.takeEffects().stream()
@@ -73,7 +82,7 @@
   /** Half a step later; one machine and a peer that hears all machines are heard. */
   private void goOn() {
     context.nowMs += context.stepMs() / 2;
-    fleet.get("n-0").heardMs = context.nowMs;
+    fleet.reported(fleet.get("n-0"), report("n-0", ++seq));
     CancellationNews none = cancellations.newsFor("roost-1");
     peers.heard(new PeerView("roost-1", term.number(), false, 0, MACHINES, 4, none));
     hearing.resignIfUnheard();
--- a/src/test/java/eiderfork/core/PreemptionTest.java
+++ b/src/test/java/eiderfork/core/PreemptionTest.java
@@ -46,7 +46,7 @@
   private MachineEntry fullMachine(String name, long ranMs) {
     Machine machine = new Machine(name, name + ":1", "g4", "a", false);
     MachineEntry m = fleet.known(machine);
-    m.reported(new Report(machine, 1, 1, 0, null, ImmutableList.of()));
+    fleet.reported(m, new Report(machine, 1, 1, 0, null, ImmutableList.of()));
     JobEntry array = add(JobKind.ARRAY, 4, Priority.LOW, "batch-img");
     for (int index = 0; index < 4; index++) {
       Reservation task = jobs.propose(array, index, 1, m);
--- a/src/test/java/eiderfork/core/RoomIndexTest.java
+++ b/src/test/java/eiderfork/core/RoomIndexTest.java
@@ -43,7 +43,7 @@
   private MachineEntry machine(String name, String type, String zone, boolean spot) {
     Machine machine = new Machine(name, name + ":1", type, zone, spot);
     MachineEntry entry = fleet.known(machine);
-    entry.reported(new Report(machine, 1, 1, 0, null, ImmutableList.of()));
+    fleet.reported(entry, new Report(machine, 1, 1, 0, null, ImmutableList.of()));
     return entry;
   }
 
--- a/src/test/java/eiderfork/core/WorkerControlTest.java
+++ b/src/test/java/eiderfork/core/WorkerControlTest.java
@@ -45,13 +45,13 @@
   @Test
   void theSameTasksOnceMoreAreOnlyASignOfLife() {
     Reservation task = started();
-    ImmutableList<TaskReport> tasks = machine.report.tasks();
+    ImmutableList<TaskReport> tasks = machine.report().tasks();
     context.nowMs += 3000;
     assertEquals(List.of(), report(SESSION, 4, firstToken, running(task)));
-    assertSame(tasks, machine.report.tasks());
-    assertEquals(4, machine.report.seq());
-    assertEquals(context.nowMs, machine.heardMs);
-    assertEquals(context.nowMs, machine.answeredMs);
+    assertSame(tasks, machine.report().tasks());
+    assertEquals(4, machine.report().seq());
+    assertEquals(context.nowMs, machine.session.heardMs());
+    assertEquals(context.nowMs, machine.session.leaseFromMs());
   }
 
   @Test
@@ -129,7 +129,7 @@
 
   /** Whose lease may have lapsed is looked for from the front of this order. */
   @Test
-  void machinesStandInTheOrderOfTheirLastAnswers() {
+  void machinesStandInTheOrderOfTheirLeases() {
     MachineEntry other = fleet.known(new Machine("n-2", "n-2:1", "g4", "a", false));
     fleet.answered(machine);
     context.nowMs += 1000;
@@ -137,8 +137,8 @@
     context.nowMs += 20_000;
     fleet.answered(machine);
     context.nowMs += 5000;
-    assertEquals(List.of(other), fleet.unansweredFor(10_000));
-    assertEquals(List.of(machine, other), fleet.unansweredFor(1000));
+    assertEquals(List.of(other), fleet.notRenewedFor(10_000));
+    assertEquals(List.of(machine, other), fleet.notRenewedFor(1000));
   }
 
   /** Tasks of another session are other runs, though they look alike. */
