A log of workers' sessions and leases

Need: the controllers' logs of the incident could not tell which session a worker was in, when a lease that was counted as lapsed had been renewed, or what was settled with it.

Change: SessionLog writes a line for each session that takes another's place (and whether a report or a direct answer showed it) and for each lapse with the ages of lease and last report, the time of the read and the tasks settled. 20 lines a step at most, the rest is counted; the counts follow once a minute. Commands are told at debug level with the ages on which they were allowed. "leading term N" names the smallest token.

Result: SessionLapseTest checks the counts and the bound.

--- a/src/main/java/eiderfork/core/Controller.java
+++ b/src/main/java/eiderfork/core/Controller.java
@@ -87,10 +87,13 @@
     liveness = new MachineLiveness(context, term);
     hearing = new Hearing(context, term, fleet, liveness, peers, leaseProxy);
     reader = new StateReader(gate, term);
+    SessionLog sessionLog = new SessionLog(context);
     LeaseLapses lapses =
-        new LeaseLapses(context, fleet, peers, liveness, reader::readProxied, this::kick);
+        new LeaseLapses(
+            context, fleet, peers, liveness, sessionLog, reader::readProxied, this::kick);
     workers =
-        new WorkerControl(context, term, jobs, fleet, cancellations, liveness, lapses, this::kick);
+        new WorkerControl(
+            context, term, jobs, fleet, cancellations, liveness, lapses, sessionLog, this::kick);
     reports = new WorkerReports(context, term, workers, cancellations, leaseProxy, hearing);
     placer = new Placer(context, term, gate, jobs, fleet, liveness, version);
     cloud = new Cloud(context, term, gate, fleet);
--- a/src/main/java/eiderfork/core/LeaseLapses.java
+++ b/src/main/java/eiderfork/core/LeaseLapses.java
@@ -5,16 +5,12 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Settles the tasks of machines whose workers' leases have surely lapsed, unless a {@link
  * LeaseProxy} renewed them.
  */
 final class LeaseLapses {
-  private static final Logger LOG = LoggerFactory.getLogger(LeaseLapses.class);
-
   /** The share of a lease after which machines for the tasks of a silent one are planned. */
   private static final double SUSPECT_SHARE = 0.5;
 
@@ -36,6 +32,7 @@
   private final Fleet fleet;
   private final Peers peers;
   private final MachineLiveness liveness;
+  private final SessionLog log;
   private final Consumer<Consumer<Set<String>>> readProxied;
   private final Runnable kick;
   private boolean readingProxied;
@@ -50,12 +47,14 @@
       Fleet fleet,
       Peers peers,
       MachineLiveness liveness,
+      SessionLog log,
       Consumer<Consumer<Set<String>>> readProxied,
       Runnable kick) {
     this.context = context;
     this.fleet = fleet;
     this.peers = peers;
     this.liveness = liveness;
+    this.log = log;
     this.readProxied = readProxied;
     this.kick = kick;
   }
@@ -96,11 +95,12 @@
       }
     }
     if (!mayBeProxied()) {
-      over.forEach(lapse -> settle(lapse.machine));
+      over.forEach(lapse -> settle(lapse.machine, 0));
     } else if (silent || !over.isEmpty()) {
       readingProxied = true;
       readProxiedNotBeforeMs = context.nowMs + context.stepMs() / 2;
-      readProxied.accept(names -> proxied(over, names));
+      long askedMs = context.nowMs;
+      readProxied.accept(names -> proxied(over, askedMs, names));
     }
   }
 
@@ -111,7 +111,7 @@
   }
 
   /** What was read after the leases in {@code over} had lapsed as far as this node knows. */
-  private void proxied(List<Lapse> over, Set<String> names) {
+  private void proxied(List<Lapse> over, long askedMs, Set<String> names) {
     readingProxied = false;
     if (names == null) {
       return;
@@ -124,14 +124,21 @@
     }
     for (Lapse lapse : over) {
       MachineEntry m = lapse.machine;
-      if (fleet.get(m.name) == m && !names.contains(m.name) && lapse.stands()) {
-        settle(m);
+      if (fleet.get(m.name) != m) {
+        continue;
+      }
+      if (names.contains(m.name)) {
+        log.keptByProxy();
+      } else if (!lapse.stands()) {
+        log.outdatedRead();
+      } else {
+        settle(m, context.nowMs - askedMs);
       }
     }
   }
 
-  private void settle(MachineEntry m) {
-    LOG.info("machine {}: its lease has lapsed", m.name);
+  private void settle(MachineEntry m, long readMs) {
+    log.lapsed(m, readMs);
     fleet.settleAll(m);
     kick.run();
   }
--- a/src/main/java/eiderfork/core/WorkerControl.java
+++ b/src/main/java/eiderfork/core/WorkerControl.java
@@ -33,6 +33,7 @@
   private final Cancellations cancellations;
   private final MachineLiveness liveness;
   private final LeaseLapses lapses;
+  private final SessionLog log;
   private final ReportReconciler reconciler;
   private boolean rebuilt;
   private long electedMs;
@@ -45,6 +46,7 @@
       Cancellations cancellations,
       MachineLiveness liveness,
       LeaseLapses lapses,
+      SessionLog log,
       Runnable kick) {
     this.context = context;
     this.term = term;
@@ -53,12 +55,14 @@
     this.cancellations = cancellations;
     this.liveness = liveness;
     this.lapses = lapses;
+    this.log = log;
     reconciler = new ReportReconciler(context, term, jobs, fleet, kick);
   }
 
   void elected() {
     rebuilt = false;
     lapses.elected();
+    log.clear();
     electedMs = context.nowMs;
   }
 
@@ -85,7 +89,7 @@
       return;
     }
     MachineEntry m = fleet.known(report.machine());
-    boolean news = absorb(m, report);
+    boolean news = absorb(m, report, false);
     if (m.token == 0) {
       m.token = term.firstToken() + 1;
     }
@@ -95,6 +99,7 @@
     ImmutableList<Command> commands = ImmutableList.of();
     if (news && !m.agrees && !m.isCommanding()) {
       commands = mayCommand() ? commands(m) : stops(m);
+      log.commanded(m, commands, false);
     }
     context.emit(new Effect.AnswerWorker(ticket, m.token, commands));
   }
@@ -136,14 +141,18 @@
     return list.build();
   }
 
-  /** Takes a report if it is the newest; whether it was. */
-  private boolean absorb(MachineEntry m, Report report) {
+  /** Takes a report, or the one in a direct answer, if it is the newest; whether it was. */
+  private boolean absorb(MachineEntry m, Report report, boolean byCommand) {
     if (!m.session.isNews(report)) {
       return false;
     }
     Report before = m.report();
     boolean sameTasks = saysNothingNew(m, report);
-    fleet.reported(m, sameTasks ? report.withTasks(before.tasks()) : report);
+    long leaseBeforeMs = m.session.leaseFromMs();
+    boolean begun = fleet.reported(m, sameTasks ? report.withTasks(before.tasks()) : report);
+    if (begun && before != null) {
+      log.begun(m, before.session(), leaseBeforeMs, byCommand);
+    }
     m.aliveMs = context.nowMs;
     m.booting = false;
     if (report.token() >= m.token) {
@@ -254,6 +263,7 @@
     if (rebuilt) {
       lapses.settleLapsed();
     }
+    log.tell();
     // Every worker turns to a new leader at once, and commands go out beside that; without a bound
     // on them the sockets ran out, and nobody could connect.
     int forCommands = context.settings.controller().outbound() / 2;
@@ -322,6 +332,7 @@
   }
 
   private void send(MachineEntry m, ImmutableList<Command> commands) {
+    log.commanded(m, commands, true);
     long token = m.token;
     long session = m.session.number();
     context.ask(
@@ -341,7 +352,7 @@
         term.outdated(says.report().token() >> Term.SEQUENCE_BITS);
         return;
       }
-      absorb(m, says.report());
+      absorb(m, says.report(), true);
       if (m.token == 0) {
         m.token = term.firstToken() + 1;
       }
--- a/src/main/java/eiderfork/core/state/Term.java
+++ b/src/main/java/eiderfork/core/state/Term.java
@@ -386,7 +386,7 @@
             nextMs = context.nowMs;
             renewing = false;
             gate.leading(true);
-            LOG.info("leading term {}", term);
+            LOG.info("leading term {} with tokens from {}", term, firstToken());
             listener.elected();
           } else {
             // Unanswered, it may still apply: the lease then runs out, since nobody renews it.
--- a/src/test/java/eiderfork/core/ControllerTest.java
+++ b/src/test/java/eiderfork/core/ControllerTest.java
@@ -104,9 +104,12 @@
     Cancellations cancellations = new Cancellations(context, uid -> {});
     MachineLiveness liveness = new MachineLiveness(context, term);
     Peers peers = new Peers(context, term, cancellations, version);
-    LeaseLapses lapses = new LeaseLapses(context, fleet, peers, liveness, then -> {}, () -> {});
+    SessionLog log = new SessionLog(context);
+    LeaseLapses lapses =
+        new LeaseLapses(context, fleet, peers, liveness, log, then -> {}, () -> {});
     WorkerControl workers =
-        new WorkerControl(context, term, jobs, fleet, cancellations, liveness, lapses, () -> {});
+        new WorkerControl(
+            context, term, jobs, fleet, cancellations, liveness, lapses, log, () -> {});
     for (int i = 0; i < 100; i++) {
       fleet.known(new Machine("n-" + i, "n-" + i + ":1", "g4", "a", false));
     }
--- a/src/test/java/eiderfork/core/LeaderAndWorker.java
+++ b/src/test/java/eiderfork/core/LeaderAndWorker.java
@@ -42,6 +42,7 @@
   final Fleet fleet;
   final MachineLiveness liveness;
   final LeaseLapses lapses;
+  final SessionLog log;
   final WorkerControl workers;
 
   /** Reads of the lease proxies' records that are under way. */
@@ -62,9 +63,11 @@
     Cancellations cancellations = new Cancellations(context, uid -> {});
     liveness = new MachineLiveness(context, term);
     Peers peers = new Peers(context, term, cancellations, version);
-    lapses = new LeaseLapses(context, fleet, peers, liveness, reads::add, () -> {});
+    log = new SessionLog(context);
+    lapses = new LeaseLapses(context, fleet, peers, liveness, log, reads::add, () -> {});
     workers =
-        new WorkerControl(context, term, jobs, fleet, cancellations, liveness, lapses, () -> {});
+        new WorkerControl(
+            context, term, jobs, fleet, cancellations, liveness, lapses, log, () -> {});
   }
 
   private static final class NoListener implements Term.Listener {
--- a/src/test/java/eiderfork/core/SessionLapseTest.java
+++ b/src/test/java/eiderfork/core/SessionLapseTest.java
@@ -130,6 +130,7 @@
     elapseUnderCommands(answeredBeforeMs + TICK_MS, first);
     commandDirectly(false, NEXT_SESSION);
     assertNull(job.placed.get(0), "the session before is over");
+    assertEquals(1, log.begunByCommand());
     long seenMs = context.nowMs;
     Reservation task = startInNextSession();
 
@@ -151,6 +152,7 @@
     context.nowMs += context.leaseMs() + JUDGED_MS;
     read.accept(Set.of());
     assertSame(task, job.placed.get(0));
+    assertEquals(1, log.outdatedReads());
   }
 
   /** The same where a report of the session that was taken for lapsed is answered. */
@@ -162,6 +164,7 @@
     context.nowMs += context.leaseMs() + JUDGED_MS;
     read.accept(Set.of());
     assertSame(task, job.placed.get(0));
+    assertEquals(1, log.outdatedReads());
   }
 
   /** What would start there is settled with the rest before it is seen to run. */
@@ -184,4 +187,17 @@
     elapse(JUDGED_MS);
     assertNull(job.placed.get(0));
   }
+
+  /** A cut that ends thousands of sessions at once does not flood the log. */
+  @Test
+  void someLinesAStepAreWrittenAndTheRestIsCounted() {
+    for (int i = 0; i < 100; i++) {
+      log.begun(machine, SESSION, context.nowMs, true);
+    }
+    assertEquals(100, log.begunByCommand());
+    assertEquals(80, log.leftOut());
+    context.nowMs += context.stepMs();
+    log.begun(machine, SESSION, context.nowMs, true);
+    assertEquals(80, log.leftOut());
+  }
 }
