A lease proxy that stands in anew asks for its records' lease at once

Cause: stop() forgot the lease of the proxy's records, but not when it was to be renewed, up to a sixth of its life (half a worker's lease) ahead. A proxy that stood in anew within that time answered nobody until then.

Change: stop() forgets both times.

--- a/src/main/java/eiderfork/core/LeaseProxy.java
+++ b/src/main/java/eiderfork/core/LeaseProxy.java
@@ -188,6 +188,9 @@
     leaseSureUntilMs = 0;
     leasing = false;
     writing = false;
+    // The times of the records of before are none of the next ones'.
+    nextRenewMs = 0;
+    nextWriteMs = 0;
   }
 
   void tick() {
