Histories of silent workers while leaders change; tests of the new order

Need: the fault was looked for only where one leader leads all the while.

Change: the same histories with leaders that end, are cut off or stand still, zones that split and machines that hang; tests of two guards of the session's lease in the order of leases and in what searches have passed over.

--- a/src/test/java/eiderfork/core/SilentWorkerHistoryTest.java
+++ b/src/test/java/eiderfork/core/SilentWorkerHistoryTest.java
@@ -27,6 +27,7 @@
   private static final int NODES = 5;
   private static final int JOBS = 160;
   private static final int SILENCES = 8;
+  private static final int TROUBLES = 6;
   private static final int TROUBLED_MS = 90_000;
   private static final int AFTERWARDS_S = 30;
 
@@ -92,7 +93,22 @@
   @MethodSource("seeds")
   void noTaskIsInTwoPlaces(long seed) {
     World world = world(seed);
-    Random script = new Random(seed * 41);
+    rulesHold(world, seed, new Random(seed * 41));
+  }
+
+  /** The same while leaders end, are cut off or stand still, zones split and machines hang. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noTaskIsInTwoPlacesWhereLeadersChange(long seed) {
+    World world = world(seed);
+    Random script = new Random(seed * 43);
+    for (int i = 0; i < TROUBLES; i++) {
+      world.at(8000 + script.nextInt(TROUBLED_MS), () -> trouble(world, script));
+    }
+    rulesHold(world, seed, script);
+  }
+
+  private static void rulesHold(World world, long seed, Random script) {
     world.cloud.capacity = 1;
     world.stateDelayMs = seed % 4 * 70L;
     world.commandsLateMs = seed % 3 * 150L;
@@ -115,6 +131,30 @@
     assertTrue(world.checker.starts > JOBS);
   }
 
+  private static String leader(World world) {
+    return world.leader() == null ? "roost-0" : world.leader();
+  }
+
+  private static void trouble(World world, Random script) {
+    String leader = leader(world);
+    long forMs = 2000 + script.nextInt(12_000);
+    switch (script.nextInt(6)) {
+      case 0 -> world.crash(leader, 500 + script.nextInt(4000));
+      case 1 -> world.splitZones(forMs);
+      case 2 -> world.freeze(leader, forMs);
+      case 3 -> world.isolate(leader, forMs);
+      case 4 -> world.cut(leader + ">state", forMs);
+      default -> {
+        List<FakeWorker> workers = world.workers();
+        if (!workers.isEmpty()) {
+          FakeWorker worker = workers.get(script.nextInt(workers.size()));
+          worker.hanging = true;
+          world.at(forMs, () -> worker.hanging = false);
+        }
+      }
+    }
+  }
+
   private static Job job(Random script, int number) {
     JobKind kind = script.nextInt(2) == 0 ? JobKind.SERVICE : JobKind.ARRAY;
     int tasks = 1 + script.nextInt(3);
@@ -131,7 +171,7 @@
     long leaseMs = (long) (world.settings.workers().leaseS() * 1000);
     long forMs = leaseMs / 2 + script.nextLong(leaseMs * 3 / 2);
     String name = workers.get(script.nextInt(workers.size())).machine.name();
-    String leader = world.leader() == null ? "roost-0" : world.leader();
+    String leader = leader(world);
     switch (script.nextInt(6)) {
       case 0 -> world.deafen(name, forMs);
       case 1 -> world.cutReports(name, leader, forMs);
--- a/src/test/java/eiderfork/core/WorkerControlTest.java
+++ b/src/test/java/eiderfork/core/WorkerControlTest.java
@@ -141,6 +141,32 @@
     assertEquals(List.of(machine, other), fleet.notRenewedFor(1000));
   }
 
+  /**
+   * The first of this order whose lease was renewed lately ends the search, so a machine that
+   * begins a session goes behind all others; in front it would hide their lapses.
+   */
+  @Test
+  void aMachineThatBeginsASessionStandsLast() {
+    MachineEntry other = fleet.known(new Machine("n-2", "n-2:1", "g4", "a", false));
+    fleet.answered(machine);
+    context.nowMs += 1000;
+    fleet.answered(other);
+    context.nowMs += 20_000;
+    fleet.reported(machine, reportOf(SESSION + 1, 1, firstToken));
+    assertEquals(List.of(other), fleet.notRenewedFor(10_000));
+  }
+
+  /** It was passed over since its lease might have been over, and is usable with this answer. */
+  @Test
+  void aSearchThatPassedOverALapsedMachineIsContradictedWithTheAnswerThatRenewsIt() {
+    context.nowMs += context.leaseMs() + context.stepMs();
+    assertFalse(liveness.usable(machine));
+    machine.passedOver = true;
+    report(SESSION, 2, firstToken);
+    assertTrue(liveness.usable(machine));
+    assertFalse(machine.passedOver);
+  }
+
   /** Tasks of another session are other runs, though they look alike. */
   @Test
   void theSameTasksInALaterSessionAreLookedAt() {
