--- /dev/null
+++ b/src/test/java/eiderfork/core/Election.java
@@ -0,0 +1,50 @@
+package eiderfork.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderfork.core.context.Context;
+import eiderfork.core.message.Effect;
+import eiderfork.core.message.Reply;
+import eiderfork.core.state.Term;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Has a node take the first term, for tests of single parts of a leader. */
+final class Election {
+  /** A listener for tests in which nothing hangs on who leads. */
+  static final Term.Listener NO_LISTENER =
+      new Term.Listener() {
+        @Override
+        public void elected() {}
+
+        @Override
+        public void deposed() {}
+      };
+
+  private Election() {}
+
+  /** The state service holds nothing, and the node becomes the leader of term 1. */
+  static void win(Context context, Term term) {
+    term.tick();
+    answer(context, new Reply.Value(null, 0));
+    answer(context, new Reply.Value(null, 0));
+    answer(context, new Reply.Leased(7));
+    answer(context, new Reply.Committed(1));
+    assertTrue(term.leading());
+  }
+
+  /** Answers the one call to the state service that is open. */
+  static void answer(Context context, Reply reply) {
+    List<Effect.AskState> asked = effects(context, Effect.AskState.class);
+    assertEquals(1, asked.size());
+    context.answered(asked.get(0).call(), reply);
+  }
+
+  /** Takes all effects, and gives those of this kind. */
+  static <T extends Effect> List<T> effects(Context context, Class<T> kind) {
+    List<T> found = new ArrayList<>();
+    context.takeEffects().stream().filter(kind::isInstance).map(kind::cast).forEach(found::add);
+    return found;
+  }
+}
--- a/src/test/java/eiderfork/core/HearingTest.java
+++ b/src/test/java/eiderfork/core/HearingTest.java
@@ -1,20 +1,16 @@
 package eiderfork.core;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.core.context.Context;
 import eiderfork.core.message.CancellationNews;
-import eiderfork.core.message.Effect;
 import eiderfork.core.message.PeerView;
-import eiderfork.core.message.Reply;
 import eiderfork.core.state.StateGate;
 import eiderfork.core.state.Term;
 import eiderfork.model.Machine;
 import eiderfork.model.Report;
-import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -30,7 +26,7 @@
   private final Context context =
       new Context(Samples.settings("roost-0"), new Random(1), 1_000_000);
   private final StateGate gate = new StateGate(context);
-  private final Term term = new Term(context, gate, new NoListener());
+  private final Term term = new Term(context, gate, Election.NO_LISTENER);
   private final ClusterVersion version = new ClusterVersion(context, gate, term);
   private final JobTable jobs = new JobTable(context, gate, term, version);
   private final Fleet fleet = new Fleet(context, jobs);
@@ -40,23 +36,10 @@
   private final Hearing hearing =
       new Hearing(context, term, fleet, new MachineLiveness(context, term), peers, proxy);
 
-  private static final class NoListener implements Term.Listener {
-    @Override
-    public void elected() {}
-
-    @Override
-    public void deposed() {}
-  }
-
   /** This node has just been elected; of its machines it hears one. */
   @BeforeEach
   void elected() {
-    term.tick();
-    answer(new Reply.Value(null, 0));
-    answer(new Reply.Value(null, 0));
-    answer(new Reply.Leased(7));
-    answer(new Reply.Committed(1));
-    assertTrue(term.leading());
+    Election.win(context, term);
     hearing.elected();
     for (int i = 0; i < MACHINES; i++) {
       Report report = report("n-" + i, 1);
@@ -69,16 +52,6 @@
     return new Report(machine, 1, seq, 0, null, ImmutableList.of());
   }
 
-  private void answer(Reply reply) {
-    List<Effect.AskState> asked =
-        context.takeEffects().stream()
-            .filter(Effect.AskState.class::isInstance)
-            .map(Effect.AskState.class::cast)
-            .toList();
-    assertEquals(1, asked.size());
-    context.answered(asked.get(0).call(), reply);
-  }
-
   /** Half a step later; one machine and a peer that hears all machines are heard. */
   private void goOn() {
     context.nowMs += context.stepMs() / 2;
--- a/src/test/java/eiderfork/core/LargeCellTest.java
+++ b/src/test/java/eiderfork/core/LargeCellTest.java
@@ -18,7 +18,6 @@
 import eiderfork.model.MachineType;
 import eiderfork.model.Priority;
 import eiderfork.model.Resources;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
@@ -34,35 +33,21 @@
 
   private final Context context = new Context(Samples.slow(), new Random(1), 1_000_000);
   private final StateGate gate = new StateGate(context);
-  private final Term term = new Term(context, gate, new NoListener());
+  private final Term term = new Term(context, gate, Election.NO_LISTENER);
   private final JobTable jobs = new JobTable(context, gate, term, null);
   private final Fleet fleet = new Fleet(context, jobs);
   private final Cloud cloud = new Cloud(context, term, gate, fleet);
 
-  private static final class NoListener implements Term.Listener {
-    @Override
-    public void elected() {}
-
-    @Override
-    public void deposed() {}
-  }
-
   @BeforeEach
   void lead() {
-    term.tick();
-    answerState(new Reply.Value(null, 0));
-    answerState(new Reply.Value(null, 0));
-    answerState(new Reply.Leased(7));
-    answerState(new Reply.Committed(1));
+    Election.win(context, term);
     context.takeEffects();
     assertTrue(term.sure());
     fleet.types(ImmutableList.of(TYPE));
   }
 
   private <T extends Effect> List<T> effects(Class<T> kind) {
-    List<T> found = new ArrayList<>();
-    context.takeEffects().stream().filter(kind::isInstance).map(kind::cast).forEach(found::add);
-    return found;
+    return Election.effects(context, kind);
   }
 
   private void answerState(Reply reply) {
--- a/src/test/java/eiderfork/core/LeaderAndWorker.java
+++ b/src/test/java/eiderfork/core/LeaderAndWorker.java
@@ -19,7 +19,6 @@
 import eiderfork.model.Resources;
 import eiderfork.model.TaskReport;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Random;
@@ -56,7 +55,7 @@
     this.nodes = nodes;
     context = new Context(Samples.settings("roost-0", nodes), new Random(1), 1_000_000);
     gate = new StateGate(context);
-    term = new Term(context, gate, new NoListener());
+    term = new Term(context, gate, Election.NO_LISTENER);
     ClusterVersion version = new ClusterVersion(context, gate, term);
     jobs = new JobTable(context, gate, term, version);
     fleet = new Fleet(context, jobs);
@@ -70,22 +69,10 @@
             context, term, jobs, fleet, cancellations, liveness, lapses, log, () -> {});
   }
 
-  private static final class NoListener implements Term.Listener {
-    @Override
-    public void elected() {}
-
-    @Override
-    public void deposed() {}
-  }
-
   /** This node leads term 1 and knows a job of two tasks and an empty machine. */
   @BeforeEach
   void lead() {
-    term.tick();
-    answer(new Reply.Value(null, 0));
-    answer(new Reply.Value(null, 0));
-    answer(new Reply.Leased(7));
-    answer(new Reply.Committed(1));
+    Election.win(context, term);
     // The leader's share of the rates fills up.
     context.nowMs += 500;
     assertTrue(term.sure());
@@ -102,9 +89,7 @@
   }
 
   <T extends Effect> List<T> effects(Class<T> kind) {
-    List<T> found = new ArrayList<>();
-    context.takeEffects().stream().filter(kind::isInstance).map(kind::cast).forEach(found::add);
-    return found;
+    return Election.effects(context, kind);
   }
 
   /** Time passes, a tick's worth or less, and the leader's own lease is renewed. */
@@ -122,9 +107,7 @@
 
   /** Answers the one call to the state service that is open. */
   void answer(Reply reply) {
-    List<Effect.AskState> asked = effects(Effect.AskState.class);
-    assertEquals(1, asked.size());
-    context.answered(asked.get(0).call(), reply);
+    Election.answer(context, reply);
   }
 
   List<Command> report(long session, long seq, long token, TaskReport... tasks) {
--- a/src/test/java/eiderfork/core/Samples.java
+++ b/src/test/java/eiderfork/core/Samples.java
@@ -191,51 +191,25 @@
 
   /** The same job with tasks of this size and run time, on machines of this type, spot or not. */
   static Job sized(Job like, Resources need, double runS, String type) {
-    return new Job(
-        like.uid(),
-        like.jobClass(),
-        like.team(),
-        like.kind(),
-        like.priority(),
-        like.tasks(),
-        need,
-        ImmutableSet.of(type),
-        like.zone(),
-        like.oneZone(),
-        like.spread(),
-        true,
-        like.image(),
-        like.imageGb(),
-        runS,
-        like.checkpointS(),
-        like.saveS(),
-        like.deadlineS());
+    return with(like, like.priority(), need, ImmutableSet.of(type), true, runS);
   }
 
   /** The same job, of which each task runs for so long. */
   static Job withRunTime(Job like, double runS) {
-    return new Job(
-        like.uid(),
-        like.jobClass(),
-        like.team(),
-        like.kind(),
-        like.priority(),
-        like.tasks(),
-        like.need(),
-        like.types(),
-        like.zone(),
-        like.oneZone(),
-        like.spread(),
-        like.spot(),
-        like.image(),
-        like.imageGb(),
-        runS,
-        like.checkpointS(),
-        like.saveS(),
-        like.deadlineS());
+    return with(like, like.priority(), like.need(), like.types(), like.spot(), runS);
   }
 
   static Job withPriority(Job like, Priority priority) {
+    return with(like, priority, like.need(), like.types(), like.spot(), like.estimateS());
+  }
+
+  private static Job with(
+      Job like,
+      Priority priority,
+      Resources need,
+      ImmutableSet<String> types,
+      boolean spot,
+      double runS) {
     return new Job(
         like.uid(),
         like.jobClass(),
@@ -243,15 +217,15 @@
         like.kind(),
         priority,
         like.tasks(),
-        like.need(),
-        like.types(),
+        need,
+        types,
         like.zone(),
         like.oneZone(),
         like.spread(),
-        like.spot(),
+        spot,
         like.image(),
         like.imageGb(),
-        like.estimateS(),
+        runS,
         like.checkpointS(),
         like.saveS(),
         like.deadlineS());
