--- a/src/test/java/eiderfork/core/SilentWorkerHistoryTest.java
+++ b/src/test/java/eiderfork/core/SilentWorkerHistoryTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import eiderfork.config.Settings;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.Priority;
@@ -37,11 +38,22 @@
   }
 
   private static World world(long seed) {
-    World world = new World(seed, Samples.settings("roost-0"), NODES);
+    return world(seed, Samples.settings("roost-0"));
+  }
+
+  private static World world(long seed, Settings settings) {
+    World world = new World(seed, settings, NODES);
     world.imagesStay = true;
     return world;
   }
 
+  /** Short and long leases, with and without lending and a standby. */
+  private static Settings settings(long seed) {
+    Settings figures = seed % 3 == 0 ? Samples.slow() : Samples.settings("roost-0");
+    Settings lending = Samples.withLending(figures, seed % 2 == 0);
+    return Samples.withStandbys(lending, seed % 5 == 0 ? 1 : 0);
+  }
+
   private static Job replica(int number) {
     return Samples.job(number, JobKind.SERVICE, 1, 1);
   }
@@ -100,7 +112,7 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void noTaskIsInTwoPlacesWhereLeadersChange(long seed) {
-    World world = world(seed);
+    World world = world(seed, settings(seed));
     Random script = new Random(seed * 43);
     for (int i = 0; i < TROUBLES; i++) {
       world.at(8000 + script.nextInt(TROUBLED_MS), () -> trouble(world, script));
