--- a/src/test/java/eiderfork/core/SessionLapseTest.java
+++ b/src/test/java/eiderfork/core/SessionLapseTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import eiderfork.core.context.Context;
 import eiderfork.core.message.Effect;
 import eiderfork.core.message.Reply;
 import eiderfork.model.Command;
@@ -188,6 +189,16 @@
     assertNull(job.placed.get(0));
   }
 
+  /** The clocks may drift, and half a step is kept to spare. */
+  @Test
+  void aLeaseLapsesWithDriftAndMargin() {
+    long lapseMs = context.nowMs + Context.surely(context.leaseMs()) + context.stepMs() / 2;
+    context.nowMs = lapseMs;
+    assertFalse(lapses.lapsed(machine));
+    context.nowMs = lapseMs + 1;
+    assertTrue(lapses.lapsed(machine));
+  }
+
   /** A cut that ends thousands of sessions at once does not flood the log. */
   @Test
   void someLinesAStepAreWrittenAndTheRestIsCounted() {
