Server connections are closed in stages, so that a refused sender sees its 400

Seen by callers: a submission over 64 KiB sometimes got a reset connection in place of its 400. A 400 is final, a failed connection is repeated for a minute at three nodes.

Cause: HttpServer closed in the moment its last response was written.

Change: LingeringCloseHandler owns the end of a server's connections. After the last response the server ends its own direction, and reads and discards until the peer closes, 5 s, 4 MiB or an eighth of the sockets are reached. What stands behind the last request is neither parsed nor served; it was served before, and answered first. No 400 is written in another way than before.

--- a/src/main/java/eiderfork/net/ControllerNode.java
+++ b/src/main/java/eiderfork/net/ControllerNode.java
@@ -56,9 +56,9 @@
 
   /** Opens the listening ports and starts the controller. */
   public void start() throws InterruptedException {
-    int backlog = settings.controllerResources().sockets();
-    new HttpServer(requests::onPublicRequest, backlog).listen(group, settings.publicEndpoint());
-    new HttpServer(requests::onPeerRequest, backlog).listen(group, settings.peerListenEndpoint());
+    int sockets = settings.controllerResources().sockets();
+    new HttpServer(requests::onPublicRequest, sockets).listen(group, settings.publicEndpoint());
+    new HttpServer(requests::onPeerRequest, sockets).listen(group, settings.peerListenEndpoint());
     scheduleTicks();
     scheduleHousekeeping();
     LOG.info("listening node={} endpoint={}", settings.nodeName(), settings.publicEndpoint());
--- a/src/main/java/eiderfork/net/HttpServer.java
+++ b/src/main/java/eiderfork/net/HttpServer.java
@@ -5,8 +5,8 @@
 import eiderfork.wire.UserCodec;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -14,15 +14,9 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -31,23 +25,23 @@
 public final class HttpServer {
   private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
 
-  /** The protocol's limit on a request body. */
-  private static final int MAX_BODY_BYTES = 64 * 1024;
-
   /** A request, and the connection that its response goes to. */
   public static final class Exchange {
     private final String method;
     private final String path;
     private final byte[] body;
     private final ChannelHandlerContext context;
-    private final boolean keepAlive;
+    private final LingeringCloseHandler closer;
+    private final boolean isLast;
 
-    private Exchange(ChannelHandlerContext context, FullHttpRequest request) {
+    private Exchange(
+        ChannelHandlerContext context, LingeringCloseHandler closer, FullHttpRequest request) {
       this.context = context;
+      this.closer = closer;
       method = request.method().name();
       path = request.uri();
       body = ByteBufUtil.getBytes(request.content());
-      keepAlive = HttpUtil.isKeepAlive(request);
+      isLast = !HttpUtil.isKeepAlive(request);
     }
 
     /** The HTTP method. */
@@ -67,22 +61,38 @@
 
     /** Answers the request; {@code retryAfterS} 0 is none. */
     public void respond(int status, byte[] response, int retryAfterS) {
-      writeResponse(context, status, response, retryAfterS, keepAlive);
+      ChannelFuture written =
+          HttpResponseWriter.write(context, status, response, retryAfterS, isLast);
+      if (isLast) {
+        closer.closeAfter(written);
+      }
     }
   }
 
   private final Consumer<Exchange> requestHandler;
-  private final int backlog;
+  private final int sockets;
+  private final LingeringConnections lingering;
 
   /**
    * Makes a server that hands each request to {@code requestHandler}.
    *
-   * @param backlog how many connections may wait to be accepted: every worker and user may connect
-   *     to this node at the same moment
+   * @param sockets how many sockets the process has. So many connections may wait to be accepted,
+   *     as every worker and user may connect to this node at the same moment; a share of them may
+   *     wait for their peers' end
    */
-  public HttpServer(Consumer<Exchange> requestHandler, int backlog) {
+  public HttpServer(Consumer<Exchange> requestHandler, int sockets) {
+    this(requestHandler, sockets, LingerLimits.of(sockets));
+  }
+
+  HttpServer(Consumer<Exchange> requestHandler, int sockets, LingerLimits limits) {
     this.requestHandler = requestHandler;
-    this.backlog = backlog;
+    this.sockets = sockets;
+    lingering = new LingeringConnections(limits);
+  }
+
+  /** How many connections wait for their peers' end. */
+  int lingeringConnections() {
+    return lingering.count();
   }
 
   /** Listens on the endpoint, any free port for port 0; not to be called on the group's loop. */
@@ -91,17 +101,13 @@
         .group(group)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
-        .option(ChannelOption.SO_BACKLOG, backlog)
+        .option(ChannelOption.SO_BACKLOG, sockets)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                channel
-                    .pipeline()
-                    .addLast(new HttpServerCodec())
-                    .addLast(new BodyAggregator())
-                    .addLast(new RequestChannelHandler());
+                initialize(channel);
               }
             })
         .bind(endpoint.host(), endpoint.port())
@@ -109,46 +115,36 @@
         .channel();
   }
 
-  private static void writeResponse(
-      ChannelHandlerContext context, int status, byte[] body, int retryAfterS, boolean keepAlive) {
-    var response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
-    if (retryAfterS > 0) {
-      response.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterS);
-    }
-    if (!keepAlive) {
-      response.headers().set(HttpHeaderNames.CONNECTION, "close");
-    }
-    var written = context.writeAndFlush(response);
-    if (!keepAlive) {
-      written.addListener(done -> context.close());
-    }
+  private void initialize(SocketChannel channel) {
+    LingeringCloseHandler closer = new LingeringCloseHandler(channel, lingering);
+    channel
+        .pipeline()
+        .addLast(closer)
+        .addLast(new HttpServerCodec())
+        .addLast(new RequestAggregator(closer))
+        .addLast(new RequestChannelHandler(closer));
   }
 
-  /** Refuses an oversized body as malformed. */
-  private static final class BodyAggregator extends HttpObjectAggregator {
-    BodyAggregator() {
-      super(MAX_BODY_BYTES);
-    }
+  private final class RequestChannelHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final LingeringCloseHandler closer;
 
-    @Override
-    protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage message) {
-      writeResponse(
-          context, HttpStatus.BAD_REQUEST, UserCodec.encodeError("over 64 KiB"), 0, false);
+    RequestChannelHandler(LingeringCloseHandler closer) {
+      this.closer = closer;
     }
-  }
 
-  private final class RequestChannelHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
       if (!request.decoderResult().isSuccess()) {
-        writeResponse(context, HttpStatus.BAD_REQUEST, UserCodec.encodeError("not HTTP"), 0, false);
+        closer.stopServing(CloseReason.MALFORMED_REQUEST);
+        byte[] error = UserCodec.encodeError("not HTTP");
+        closer.closeAfter(
+            HttpResponseWriter.write(context, HttpStatus.BAD_REQUEST, error, 0, true));
         return;
       }
-      requestHandler.accept(new Exchange(context, request));
+      if (!HttpUtil.isKeepAlive(request)) {
+        closer.stopServing(CloseReason.REQUESTED);
+      }
+      requestHandler.accept(new Exchange(context, closer, request));
     }
 
     @Override
@@ -157,7 +153,7 @@
           "connection-failed remote={} cause=\"{}\"",
           context.channel().remoteAddress(),
           cause.toString());
-      context.close();
+      closer.abort();
     }
   }
 }
--- /dev/null
+++ b/src/main/java/eiderfork/net/LingerLimits.java
@@ -0,0 +1,27 @@
+package eiderfork.net;
+
+/**
+ * How long a server's connection may wait for its peer's end after the last response.
+ *
+ * @param timeoutMs the longest time
+ * @param maxDiscardedBytes the most bytes that are read and discarded
+ * @param maxConnections the most connections of a server that may wait at once
+ */
+record LingerLimits(long timeoutMs, long maxDiscardedBytes, int maxConnections) {
+  /** The protocol's limit on a user's wait for a response; nobody reads it later. */
+  private static final long USER_TIMEOUT_MS = 5000;
+
+  /** A refused body may be so many times as long as the longest one that is taken. */
+  private static final int BODIES = 64;
+
+  /** One socket in so many may wait for a peer's end. */
+  private static final int SOCKETS_DIVISOR = 8;
+
+  /** The limits of a server whose process has so many sockets. */
+  static LingerLimits of(int sockets) {
+    return new LingerLimits(
+        USER_TIMEOUT_MS,
+        (long) BODIES * RequestAggregator.MAX_BODY_BYTES,
+        Math.max(1, sockets / SOCKETS_DIVISOR));
+  }
+}
--- a/src/test/java/eiderfork/ci/KnownRedTest.java
+++ b/src/test/java/eiderfork/ci/KnownRedTest.java
@@ -48,6 +48,15 @@
     assertTrue(KnownRedList.read(Path.of("target", "no-such-list")).entries().isEmpty());
   }
 
+  /** The last entry's line is gone, and the list is empty or has only its head. */
+  @Test
+  void aListWithoutEntriesPassesNothingOver() {
+    for (List<String> lines : List.of(List.<String>of(), List.of("# test | command", ""))) {
+      KnownRedExtension extension = new KnownRedExtension(KnownRedList.parse(lines));
+      assertSame(FAILURE, extension.passedOver("LeaseTest", "lapses", "lapses()", FAILURE));
+    }
+  }
+
   @Test
   void aLineThatCanNotBeReadIsTold() {
     for (String line :
