An announced body beyond the limit gets 400, and is not read as a request

Seen by callers: 413 for Expect: 100-continue with a body over 64 KiB, which users repeat for a minute, in place of the final 400. A body that was sent all the same was read as a request, and answered a second time.

Cause: Netty's aggregator answers expectations by itself, keeps the connection and starts its decoder anew. A raw socket that sends 70,000 bytes with a request in them after the 413 or the 417 got a second response, to them.

--- a/src/main/java/eiderfork/net/CloseReason.java
+++ b/src/main/java/eiderfork/net/CloseReason.java
@@ -11,6 +11,9 @@
   /** The bytes are not HTTP. */
   MALFORMED_REQUEST,
 
+  /** The request has an expectation that the server does not know. */
+  UNSUPPORTED_EXPECTATION,
+
   /** The connection, or the handling of a request, failed. */
   FAILED
 }
--- a/src/test/java/eiderfork/net/HttpServerTest.java
+++ b/src/test/java/eiderfork/net/HttpServerTest.java
@@ -149,6 +149,30 @@
     }
   }
 
+  /** An oversized body that was only announced got 413, which users repeat for a minute. */
+  @Test
+  void anAnnouncedBodyBeyondTheLimitGetsThe400WithoutBeingAskedFor() throws Exception {
+    try (RawConnection connection = new RawConnection(serveAndKeepRequests())) {
+      connection.send(head("Content-Length: " + OVERSIZED_BYTES, "Expect: 100-continue"));
+      assertLastResponse(400, connection);
+    }
+  }
+
+  /** The body that followed such a refusal was read, and served, as a request. */
+  @ParameterizedTest
+  @ValueSource(strings = {"100-continue", "200-other"})
+  void aBodyThatFollowsARefusedExpectationIsNotServed(String expectation) throws Exception {
+    try (RawConnection connection = new RawConnection(serveAndKeepRequests())) {
+      connection.send(head("Content-Length: " + OVERSIZED_BYTES, "Expect: " + expectation));
+      awaitResponse(connection);
+      connection.send(SMALL_REQUEST);
+      sendInPieces(connection, OVERSIZED_BYTES - PIECE_BYTES);
+      assertLastResponse(expectation.equals("100-continue") ? 400 : 417, connection);
+      finishTurns();
+      assertEquals(0, requests.size());
+    }
+  }
+
   /** A body of unknown length is asked for, and refused as soon as it is too long. */
   @Test
   void anAnnouncedChunkedBodyBeyondTheLimitGetsThe400() throws Exception {
