A response that arrives before its request is written is used

Seen by callers: a call that was refused early counted as unanswered, so that what it had reserved was frozen as unknown.

Cause: Netty closes a channel when a write on it fails, and the response that had been received was not read any more.

HttpClientConnectionTest#aResponseBeforeTheEndOfTheRequestIsUsed failed before (status 0 for 400) and passes now. Three guards beside it passed before.

--- a/src/main/java/eiderfork/net/HttpClient.java
+++ b/src/main/java/eiderfork/net/HttpClient.java
@@ -69,6 +69,8 @@
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
+            // A response may have arrived although the request can't be written any more.
+            .option(ChannelOption.AUTO_CLOSE, false)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
