A connection whose request is not written is not used again

Seen by callers: after an early refusal on a connection that stays open, the next calls to the same address stood behind a body that nobody read, and timed out.

Cause: a connection was kept as soon as its response was read, whether or not the request was written.

Change: it is kept only if the request was written as a whole.

HttpClientConnectionTest#aConnectionWithAnUnfinishedRequestIsNotUsedAgain failed before (no second connection in 20 s) and passes now.

--- a/src/main/java/eiderfork/net/HttpClient.java
+++ b/src/main/java/eiderfork/net/HttpClient.java
@@ -134,6 +134,7 @@
     private final byte[] body;
     private final ResponseListener listener;
     private Channel channel;
+    private ChannelFuture written;
     private ScheduledFuture<?> timeoutTask;
     private boolean isCompleted;
 
@@ -149,7 +150,7 @@
     void sendOn(Channel openChannel) {
       channel = openChannel;
       channel.pipeline().get(ResponseHandler.class).pending = this;
-      channel.writeAndFlush(toHttp());
+      written = channel.writeAndFlush(toHttp());
     }
 
     private FullHttpRequest toHttp() {
@@ -204,7 +205,7 @@
     private void complete(
         PendingRequest request, ChannelHandlerContext context, FullHttpResponse response) {
       byte[] body = ByteBufUtil.getBytes(response.content());
-      if (HttpUtil.isKeepAlive(response)) {
+      if (HttpUtil.isKeepAlive(response) && request.written.isSuccess()) {
         idleConnections.add(request.endpoint, context.channel());
       } else {
         context.close();
--- a/src/test/java/eiderfork/net/HttpClientConnectionTest.java
+++ b/src/test/java/eiderfork/net/HttpClientConnectionTest.java
@@ -126,6 +126,23 @@
     assertEquals(400, await(status));
   }
 
+  /** The next request stood behind a body that nobody read any more. */
+  @Test
+  void aConnectionWithAnUnfinishedRequestIsNotUsedAgain() throws Exception {
+    CompletableFuture<Integer> first = send(LARGE_BODY, TIMEOUT_MS);
+    try (Socket refusing = server.accept()) {
+      readHead(refusing);
+      respond(refusing, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0");
+      assertEquals(503, await(first));
+      CompletableFuture<Integer> second = send(NO_BODY, TIMEOUT_MS);
+      try (Socket other = server.accept()) {
+        readHead(other);
+        respond(other, "HTTP/1.1 200 OK\r\nContent-Length: 0");
+        assertEquals(200, await(second));
+      }
+    }
+  }
+
   /** Whether a kept connection's end came before or after the request can't be known. */
   @Test
   void aRequestOnAConnectionThatEndsIsUnanswered() throws Exception {
