A response that came in time is used by a late event loop

Seen by callers: a busy controller gave up calls whose response had arrived in time, and took their outcome for unknown.

Cause: the loop handles what was ready, then runs the timers that fell due meanwhile, then reads what arrived meanwhile.

Change: a time-out that falls due leaves the loop one more turn to read.

HttpClientConnectionTest#aResponseThatCameInTimeIsUsedByALateLoop failed before (status 0 for 201) and passes now.

--- a/src/main/java/eiderfork/net/HttpClient.java
+++ b/src/main/java/eiderfork/net/HttpClient.java
@@ -41,6 +41,9 @@
   /** The status that stands for a response that is too large. */
   public static final int STATUS_OVERSIZED = -1;
 
+  /** At least one turn of the event loop, in which it reads what has arrived. */
+  private static final long LAST_READ_MS = 1;
+
   private static final byte[] EMPTY_BODY = new byte[0];
 
   /** Takes a response. */
@@ -98,7 +101,7 @@
       long timeoutMs,
       ResponseListener listener) {
     PendingRequest request = new PendingRequest(endpoint, method, path, body, listener);
-    request.timeoutTask = loop.schedule(request::onTimeout, timeoutMs, TimeUnit.MILLISECONDS);
+    request.timeoutTask = loop.schedule(() -> onTimeout(request), timeoutMs, TimeUnit.MILLISECONDS);
     Channel channel = idleConnections.take(endpoint);
     if (channel != null) {
       request.sendOn(channel);
@@ -107,6 +110,13 @@
     }
   }
 
+  /**
+   * The loop may be late: a response that arrived in time is read before the request is given up.
+   */
+  private void onTimeout(PendingRequest request) {
+    request.timeoutTask = loop.schedule(request::giveUp, LAST_READ_MS, TimeUnit.MILLISECONDS);
+  }
+
   private void connect(PendingRequest request) {
     ChannelFuture connected = bootstrap.connect(request.endpoint.host(), request.endpoint.port());
     request.channel = connected.channel();
@@ -169,7 +179,7 @@
       return request;
     }
 
-    void onTimeout() {
+    void giveUp() {
       if (channel != null) {
         channel.close();
       }
--- a/src/test/java/eiderfork/net/HttpClientConnectionTest.java
+++ b/src/test/java/eiderfork/net/HttpClientConnectionTest.java
@@ -143,6 +143,40 @@
     }
   }
 
+  /** A response that had come in time was given up, since the event loop was late to read it. */
+  @Test
+  void aResponseThatCameInTimeIsUsedByALateLoop() throws Exception {
+    long timeoutMs = 300;
+    CompletableFuture<Integer> busy = new CompletableFuture<>();
+    CountDownLatch responded = new CountDownLatch(1);
+    Endpoint endpoint = new Endpoint("127.0.0.1", server.getLocalPort());
+    loop.execute(
+        () ->
+            client.send(
+                endpoint,
+                "POST",
+                "/",
+                NO_BODY,
+                TIMEOUT_MS,
+                (status, response) -> {
+                  busy.complete(status);
+                  awaitUninterrupted(responded);
+                }));
+    try (Socket blocking = server.accept()) {
+      readHead(blocking);
+      CompletableFuture<Integer> late = send(NO_BODY, timeoutMs);
+      try (Socket inTime = server.accept()) {
+        readHead(inTime);
+        respond(blocking, "HTTP/1.1 200 OK\r\nContent-Length: 0");
+        await(busy);
+        respond(inTime, "HTTP/1.1 201 Created\r\nContent-Length: 0");
+        Thread.sleep(2 * timeoutMs);
+        responded.countDown();
+        assertEquals(201, await(late));
+      }
+    }
+  }
+
   /** Whether a kept connection's end came before or after the request can't be known. */
   @Test
   void aRequestOnAConnectionThatEndsIsUnanswered() throws Exception {
