A submission that a peer would refuse for its envelope is not forwarded

Seen by callers: none in the answer, which is the same at each node (201); a body within 64 bytes of 64 KiB cost a follower a round trip to the leader that refused it with 400.

Cause: the body is wrapped with kind, id and lengths for the peer, whose limit is the same 64 KiB.

Change: such a submission is handled by the node that got it, as while the leader is out of reach. The limit stays, and so do the forms.

--- a/src/main/java/eiderfork/controller/jobs/UserRequestHandler.java
+++ b/src/main/java/eiderfork/controller/jobs/UserRequestHandler.java
@@ -104,7 +104,11 @@
           recordResponse(request, response);
           requester.accept(response);
         };
-    boolean isForwardable = canForward && isPeer(election.leader()) && !mustWaitForVersion(request);
+    boolean isForwardable =
+        canForward
+            && isPeer(election.leader())
+            && !mustWaitForVersion(request)
+            && fitsForwarding(request);
     if (canAnswerFromMemory() || !isForwardable) {
       handleLocally(request, onComplete);
     } else {
@@ -172,6 +176,12 @@
     return request instanceof Input.Submit submit && admission.mustWaitForVersion(submit.job());
   }
 
+  /** Whether a peer takes the request with its envelope; others are handled by this node alone. */
+  private static boolean fitsForwarding(Input request) {
+    return !(request instanceof Input.Submit submit)
+        || submit.body().length <= Effect.ForwardRequest.MAX_BODY_BYTES;
+  }
+
   private boolean isPeer(String node) {
     return node != null && context.settings.peerEndpoints().containsKey(node);
   }
--- a/src/main/java/eiderfork/controller/message/Effect.java
+++ b/src/main/java/eiderfork/controller/message/Effect.java
@@ -55,7 +55,13 @@
   record PingPeer(long callId, String node, PeerStatus status, long timeoutMs) implements Call {}
 
   /** Forwards a user's request to a peer. */
-  record ForwardRequest(long callId, String node, Input request, long timeoutMs) implements Call {}
+  record ForwardRequest(long callId, String node, Input request, long timeoutMs) implements Call {
+    /** Bytes that a forwarded submission's kind, id and lengths may take beside its body. */
+    private static final int MAX_ENVELOPE_BYTES = 64;
+
+    /** The longest body of a submission that fits a request to a peer, which is 64 KiB at most. */
+    public static final int MAX_BODY_BYTES = 64 * 1024 - MAX_ENVELOPE_BYTES;
+  }
 
   /** Forwards queries of several jobs, whose responses come in the same order. */
   record ForwardQueries(long callId, String node, ImmutableList<String> uids, long timeoutMs)
--- a/src/test/java/eiderfork/wire/ProtocolCodecTest.java
+++ b/src/test/java/eiderfork/wire/ProtocolCodecTest.java
@@ -7,6 +7,7 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.controller.message.CancellationGossip;
+import eiderfork.controller.message.Effect;
 import eiderfork.controller.message.Input;
 import eiderfork.controller.message.MachineHint;
 import eiderfork.controller.message.MachineHintBatch;
@@ -253,6 +254,19 @@
         () -> PeerStatusCodec.decodeStatus(Arrays.copyOf(first, 11)));
   }
 
+  /**
+   * The longest submission that is forwarded, with the longest id, was refused for its envelope.
+   */
+  @Test
+  void forwardedSubmissionsFitARequest() throws MalformedMessageException {
+    String longestId = JOB.replaceFirst("run-[0-9]+", "run-" + "9".repeat(18));
+    String padded =
+        longestId + " ".repeat(Effect.ForwardRequest.MAX_BODY_BYTES - longestId.length());
+    Input.Submit submit = new Input.Submit(9, UserCodec.decodeJob(bytes(padded)), bytes(padded));
+    int length = ForwardingCodec.encodeRequest(submit).length;
+    assertTrue(length <= 64 * 1024, length + " bytes");
+  }
+
   @Test
   void peerMessagesRoundTrip() throws MalformedMessageException {
     CancellationGossip gossip =
