Addresses without idle connections are forgotten

Seen by callers: nothing; a controller kept memory for each address that it ever had used an idle connection of, and machines come and go.

Cause: taking the last idle connection of an address left its empty list.

Change: taking and closing share one remove.

--- a/src/main/java/eiderfork/net/IdleConnections.java
+++ b/src/main/java/eiderfork/net/IdleConnections.java
@@ -32,6 +32,11 @@
     maxPerEndpoint = Math.max(MIN_PER_ENDPOINT, maxCount / PER_ENDPOINT_DIVISOR);
   }
 
+  /** How many endpoints are remembered. */
+  int endpointCount() {
+    return byEndpoint.size();
+  }
+
   private static long nowMs() {
     return System.nanoTime() / NANOS_PER_MS;
   }
@@ -40,8 +45,8 @@
   Channel take(Endpoint endpoint) {
     Deque<IdleConnection> idle = byEndpoint.get(endpoint);
     while (idle != null && !idle.isEmpty()) {
-      IdleConnection newest = idle.pollLast();
-      oldestFirst.remove(newest);
+      IdleConnection newest = idle.getLast();
+      remove(newest);
       if (newest.channel.isActive()) {
         return newest.channel;
       }
@@ -75,12 +80,16 @@
 
   private void closeOldest() {
     IdleConnection oldest = oldestFirst.iterator().next();
-    oldestFirst.remove(oldest);
-    Deque<IdleConnection> idle = byEndpoint.get(oldest.endpoint);
-    idle.remove(oldest);
+    remove(oldest);
+    oldest.channel.close();
+  }
+
+  private void remove(IdleConnection connection) {
+    oldestFirst.remove(connection);
+    Deque<IdleConnection> idle = byEndpoint.get(connection.endpoint);
+    idle.remove(connection);
     if (idle.isEmpty()) {
-      byEndpoint.remove(oldest.endpoint);
+      byEndpoint.remove(connection.endpoint);
     }
-    oldest.channel.close();
   }
 }
