--- a/src/test/java/eiderfork/wire/AvroCodecTest.java
+++ b/src/test/java/eiderfork/wire/AvroCodecTest.java
@@ -11,6 +11,7 @@
 import java.util.Collections;
 import org.apache.avro.io.BinaryEncoder;
 import org.apache.avro.io.EncoderFactory;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -22,6 +23,15 @@
 
   private static final ThreadMXBean THREADS = (ThreadMXBean) ManagementFactory.getThreadMXBean();
 
+  /** The schemas and the decoder are loaded before anything is measured. */
+  @BeforeAll
+  static void load() {
+    assertThrows(
+        MalformedMessageException.class, () -> PeerStatusCodec.decodeStatus(new byte[] {1}));
+    assertThrows(
+        MalformedMessageException.class, () -> ForwardingCodec.decodeQueries(new byte[] {1}));
+  }
+
   private static byte[] length(long length) throws IOException {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     BinaryEncoder encoder = EncoderFactory.get().directBinaryEncoder(out, null);
