--- a/src/test/java/eiderfork/net/HttpClientConnectionTest.java
+++ b/src/test/java/eiderfork/net/HttpClientConnectionTest.java
@@ -58,17 +58,19 @@
   }
 
   private CompletableFuture<Integer> send(byte[] body, long timeoutMs) {
+    return send(body, timeoutMs, () -> {});
+  }
+
+  /** Sends a request; {@code onResponse} is run by the event loop while it handles the response. */
+  private CompletableFuture<Integer> send(byte[] body, long timeoutMs, Runnable onResponse) {
     Endpoint endpoint = new Endpoint("127.0.0.1", server.getLocalPort());
     CompletableFuture<Integer> result = new CompletableFuture<>();
-    loop.execute(
-        () ->
-            client.send(
-                endpoint,
-                "POST",
-                "/",
-                body,
-                timeoutMs,
-                (status, response) -> result.complete(status)));
+    HttpClient.ResponseListener listener =
+        (status, response) -> {
+          result.complete(status);
+          onResponse.run();
+        };
+    loop.execute(() -> client.send(endpoint, "POST", "/", body, timeoutMs, listener));
     return result;
   }
 
@@ -147,21 +149,9 @@
   @Test
   void aResponseThatCameInTimeIsUsedByALateLoop() throws Exception {
     long timeoutMs = 300;
-    CompletableFuture<Integer> busy = new CompletableFuture<>();
     CountDownLatch responded = new CountDownLatch(1);
-    Endpoint endpoint = new Endpoint("127.0.0.1", server.getLocalPort());
-    loop.execute(
-        () ->
-            client.send(
-                endpoint,
-                "POST",
-                "/",
-                NO_BODY,
-                TIMEOUT_MS,
-                (status, response) -> {
-                  busy.complete(status);
-                  awaitUninterrupted(responded);
-                }));
+    CompletableFuture<Integer> busy =
+        send(NO_BODY, TIMEOUT_MS, () -> awaitUninterrupted(responded));
     try (Socket blocking = server.accept()) {
       readHead(blocking);
       CompletableFuture<Integer> late = send(NO_BODY, timeoutMs);
--- a/src/test/java/eiderfork/net/HttpServerTest.java
+++ b/src/test/java/eiderfork/net/HttpServerTest.java
@@ -55,9 +55,7 @@
   }
 
   private static String head(String... headers) {
-    return "POST /v2/runs HTTP/1.1\r\nHost: test\r\n"
-        + String.join("\r\n", headers)
-        + (headers.length == 0 ? "\r\n" : "\r\n\r\n");
+    return "POST /v2/runs HTTP/1.1\r\nHost: test\r\n" + String.join("\r\n", headers) + "\r\n\r\n";
   }
 
   private Endpoint serve(Consumer<HttpServer.Exchange> handler) throws Exception {
@@ -76,6 +74,16 @@
     finishTurns();
   }
 
+  private void awaitRequest() throws Exception {
+    while (requests.isEmpty()) {
+      Thread.sleep(1);
+    }
+  }
+
+  private void respondToAll(int status) throws Exception {
+    loop.submit(() -> requests.forEach(it -> it.respond(status, new byte[0], 0))).get();
+  }
+
   private void finishTurns() throws Exception {
     for (int turn = 0; turn < 3; turn++) {
       loop.submit(() -> {}).get();
@@ -246,15 +254,13 @@
     try (RawConnection connection = new RawConnection(serveAndKeepRequests())) {
       String last = head("Connection: close", "Content-Length: 2") + "{}";
       connection.send(last + (together ? SMALL_REQUEST : ""));
-      while (requests.isEmpty()) {
-        Thread.sleep(1);
-      }
+      awaitRequest();
       if (!together) {
         connection.send(SMALL_REQUEST);
       }
       connection.send(OVERSIZED_HEAD);
       finishTurns();
-      loop.submit(() -> requests.forEach(it -> it.respond(201, new byte[0], 0))).get();
+      respondToAll(201);
       assertLastResponse(201, connection);
       assertEquals(1, requests.size());
     }
@@ -402,11 +408,9 @@
     HttpServer server = limitedServer(new LingerLimits(SHORT_MS, MANY_BYTES, SOCKETS));
     try (RawConnection connection = new RawConnection(listen(server))) {
       connection.send(head("Connection: close", "Content-Length: 2") + "{}");
-      while (requests.isEmpty()) {
-        Thread.sleep(1);
-      }
+      awaitRequest();
       Thread.sleep(3 * SHORT_MS);
-      loop.submit(() -> requests.forEach(it -> it.respond(201, new byte[0], 0))).get();
+      respondToAll(201);
       assertLastResponse(201, connection);
     }
   }
