--- a/src/test/java/eiderfork/controller/QuotaReclaimHistoryTest.java
+++ b/src/test/java/eiderfork/controller/QuotaReclaimHistoryTest.java
@@ -12,6 +12,7 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Random histories of teams that lend and borrow under every fault of {@link
@@ -61,6 +62,13 @@
     assertTrue(scenario.world.checker.starts > 10);
   }
 
+  /** Seeds of long runs in which a team waited for its guarantee for no known cause. */
+  @ParameterizedTest
+  @ValueSource(longs = {1101, 1156, 1832})
+  void guaranteesAreNotLateWithoutACause(long seed) {
+    rulesAndGuaranteesHold(seed);
+  }
+
   /** Runs the random history of this seed to its quiet end, and returns the jobs. */
   static List<Job> play(QuotaCluster scenario, long seed) {
     Random script = new Random(seed * 53);
