FakeNetwork: calls to peers share one way

What stood four times stands once; no message, order or chance changes. EffectDigestTest, RandomHistoryTest, RateLimitTest, FailoverTest, RollingUpgradeTest, StandbyFailoverTest, LargeSubmissionTest and UserRequestHandlerTest pass.

--- a/src/test/java/eiderfork/controller/FakeNetwork.java
+++ b/src/test/java/eiderfork/controller/FakeNetwork.java
@@ -5,6 +5,9 @@
 import eiderfork.controller.message.Reply;
 import eiderfork.controller.message.StoreRequest;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongFunction;
+import java.util.function.Supplier;
 
 /**
  * Carries the effects of a {@link SimulatedCluster}'s controllers to the other parties, and answers
@@ -119,67 +122,58 @@
         onComplete.accept(effect);
       }
     } else {
-      askPeer(node, effect);
+      callPeer(node, effect);
     }
   }
 
-  private void askPeer(String node, Effect effect) {
+  private void callPeer(String node, Effect effect) {
     if (effect instanceof Effect.PingPeer it) {
       call(
           node,
           it,
           it.node(),
-          onComplete ->
-              world.ask(
-                  it.node(),
-                  ticket -> new Input.PeerPing(ticket, it.status()),
-                  said ->
-                      onComplete.accept(
-                          new Reply.PeerPong(((Effect.RespondToPing) said).status()))));
+          askPeer(
+              it.node(),
+              ticket -> new Input.PeerPing(ticket, it.status()),
+              said -> new Reply.PeerPong(((Effect.RespondToPing) said).status())));
     } else if (effect instanceof Effect.ForwardRequest it) {
       call(
           node,
           it,
           it.node(),
-          onComplete ->
-              world.ask(
-                  it.node(),
-                  ticket -> new Input.PeerRequest(ticket, it.request()),
-                  said ->
-                      onComplete.accept(
-                          new Reply.ForwardedResponse(((Effect.RespondToUser) said).response()))));
+          askPeer(
+              it.node(),
+              ticket -> new Input.PeerRequest(ticket, it.request()),
+              said -> new Reply.ForwardedResponse(((Effect.RespondToUser) said).response())));
     } else if (effect instanceof Effect.SendHints it) {
-      call(
-          node,
-          it,
-          it.node(),
-          onComplete -> {
-            if (world.older.contains(it.node())) {
-              onComplete.accept(new Reply.Refused(404));
-            } else {
-              world.ask(
-                  it.node(),
-                  ticket -> new Input.PeerHints(ticket, it.hints()),
-                  said -> onComplete.accept(new Reply.HintsAcknowledged()));
-            }
-          });
+      Service refusing = onComplete -> onComplete.accept(new Reply.Refused(404));
+      Service acknowledging =
+          askPeer(
+              it.node(),
+              ticket -> new Input.PeerHints(ticket, it.hints()),
+              said -> new Reply.HintsAcknowledged());
+      Service either =
+          onComplete ->
+              (world.older.contains(it.node()) ? refusing : acknowledging).serve(onComplete);
+      call(node, it, it.node(), either);
     } else if (effect instanceof Effect.ForwardQueries it) {
       call(
           node,
           it,
           it.node(),
-          onComplete ->
-              world.ask(
-                  it.node(),
-                  ticket -> new Input.PeerQueries(ticket, it.uids()),
-                  said ->
-                      onComplete.accept(
-                          new Reply.ForwardedResponses(
-                              ((Effect.RespondToQueries) said).responses()))));
+          askPeer(
+              it.node(),
+              ticket -> new Input.PeerQueries(ticket, it.uids()),
+              said -> new Reply.ForwardedResponses(((Effect.RespondToQueries) said).responses())));
     }
   }
 
-  private void askCloud(String node, Effect.Call call, java.util.function.Supplier<Reply> answer) {
+  /** What a peer says to an input, as the reply to a call. */
+  private Service askPeer(String peer, LongFunction<Input> input, Function<Effect, Reply> reply) {
+    return onComplete -> world.ask(peer, input, said -> onComplete.accept(reply.apply(said)));
+  }
+
+  private void askCloud(String node, Effect.Call call, Supplier<Reply> answer) {
     call(
         node,
         call,
@@ -189,20 +183,14 @@
   }
 
   private void worker(
-      String node,
-      Effect.Call call,
-      String addr,
-      long lateMs,
-      java.util.function.Function<FakeWorker, Reply> answer) {
+      String node, Effect.Call call, String addr, long lateMs, Function<FakeWorker, Reply> answer) {
     String name = addr.substring(0, addr.indexOf(':'));
     String to = world.isCut(node, "*") ? "*" : name;
     call(node, call, to, onComplete -> world.at(lateMs, () -> deliver(name, answer, onComplete)));
   }
 
   private void deliver(
-      String name,
-      java.util.function.Function<FakeWorker, Reply> answer,
-      Consumer<Reply> onComplete) {
+      String name, Function<FakeWorker, Reply> answer, Consumer<Reply> onComplete) {
     FakeCloud.Host host = world.cloud.host(name);
     if (host == null || host.worker == null || host.worker.dead) {
       return;
--- a/src/test/java/eiderfork/controller/RateLimitTest.java
+++ b/src/test/java/eiderfork/controller/RateLimitTest.java
@@ -112,8 +112,7 @@
     assertTrue(refused.stream().allMatch(a -> a.status() == 503 && a.retryAfterS() > 0));
     context.drainEffects();
     users.handle(
-        new Input.Submit(
-            1, TestFixtures.job(999, eiderfork.model.JobKind.SERVICE, 1, 1), new byte[0]),
+        new Input.Submit(1, TestFixtures.job(999, JobKind.SERVICE, 1, 1), new byte[0]),
         true,
         refused::add);
     context.advanceBy(100);
