--- a/src/main/java/eiderfork/net/LingerLimits.java
+++ b/src/main/java/eiderfork/net/LingerLimits.java
@@ -11,8 +11,8 @@
   /** The protocol's limit on a user's wait for a response; nobody reads it later. */
   private static final long USER_TIMEOUT_MS = 5000;
 
-  /** A refused body may be so many times as long as the longest one that is taken. */
-  private static final int BODIES = 64;
+  /** The longest bodies that are taken, so many of which are discarded at most. */
+  private static final int MAX_DISCARDED_BODIES = 64;
 
   /** One socket in so many may wait for a peer's end. */
   private static final int SOCKETS_DIVISOR = 8;
@@ -21,7 +21,7 @@
   static LingerLimits of(int sockets) {
     return new LingerLimits(
         USER_TIMEOUT_MS,
-        (long) BODIES * RequestAggregator.MAX_BODY_BYTES,
+        (long) MAX_DISCARDED_BODIES * RequestAggregator.MAX_BODY_BYTES,
         Math.max(1, sockets / SOCKETS_DIVISOR));
   }
 }
--- a/src/main/java/eiderfork/wire/AvroCodec.java
+++ b/src/main/java/eiderfork/wire/AvroCodec.java
@@ -17,15 +17,15 @@
 /** Avro records as bytes, by the schemas beside this class. */
 final class AvroCodec {
   /** The most bytes of a text or a byte string; no message or record is as long as a whole. */
-  private static final int MAX_LENGTH = 8 << 20;
+  private static final int MAX_LENGTH_BYTES = 8 << 20;
 
   /** The most items of a list; no message or record has room for more. */
   private static final int MAX_ITEMS = 1 << 20;
 
   static {
     // Avro reads these once, and allocates what a length claims before it reads on.
-    limit(SystemLimitException.MAX_BYTES_LENGTH_PROPERTY, MAX_LENGTH);
-    limit(SystemLimitException.MAX_STRING_LENGTH_PROPERTY, MAX_LENGTH);
+    limit(SystemLimitException.MAX_BYTES_LENGTH_PROPERTY, MAX_LENGTH_BYTES);
+    limit(SystemLimitException.MAX_STRING_LENGTH_PROPERTY, MAX_LENGTH_BYTES);
     limit(SystemLimitException.MAX_COLLECTION_LENGTH_PROPERTY, MAX_ITEMS);
   }
 
