--- a/review/standin/SocketLimit.java
+++ b/review/standin/SocketLimit.java
@@ -122,6 +122,7 @@
               int n = asked.incrementAndGet();
               String uid = n % 2 == 0 ? "run-00000" + n % JOBS : "run-9" + n;
               Net.Response response = user.call("GET", "/v2/runs/" + uid, "", 2000);
+              check(setup, uid, n % 2 == 0, response);
               if (response != null && response.status() != 503) {
                 answered.incrementAndGet();
               }
@@ -147,10 +148,25 @@
             .dropWhile(line -> !line.contains("ERROR")).limit(20)
             .forEach(line -> Record.log("%s: %s", each.name, line.replace("%", "%%")));
         setup.finish(1, each.name + " ended by itself with exit code "
-            + each.process.exitValue());
+            + each.process.exitValue() + ", broken besides: " + setup.fleet.violations);
       }
     }
-    setup.finish(0, "no controller ended by itself");
+    setup.finish(setup.fleet.violations.isEmpty() ? 0 : 1, "broken: " + setup.fleet.violations);
+  }
+
+  /** Checks that an answer belongs to its question, and that accepted jobs are known. */
+  private static void check(Setup setup, String uid, boolean accepted, Net.Response response) {
+    if (response == null) {
+      return;
+    }
+    boolean ownJob = response.body().contains("\"" + uid + "\"");
+    if (response.status() == 200 && !ownJob) {
+      setup.fleet.violation("invented", uid + " is answered with " + response.body());
+    } else if (response.status() == 200 && !accepted) {
+      setup.fleet.violation("invented", uid + " is answered with " + response.body());
+    } else if (response.status() == 404 && accepted) {
+      setup.fleet.violation("forgotten", uid + " is answered with 404 " + response.body());
+    }
   }
 
   /** Counts the open files of a controller's process. */
