--- a/review/standin/SocketLimit.java
+++ b/review/standin/SocketLimit.java
@@ -151,7 +151,7 @@
             + each.process.exitValue() + ", broken besides: " + setup.fleet.violations);
       }
     }
-    setup.finish(setup.fleet.violations.isEmpty() ? 0 : 1, "broken: " + setup.fleet.violations);
+    setup.finish(setup.fleet.violations.isEmpty() ? 0 : 1, "broken rules: " + setup.fleet.violations);
   }
 
   /** Checks that an answer belongs to its question, and that accepted jobs are known. */
