--- a/review/standins-2/review2/Case4.java
+++ b/review/standins-2/review2/Case4.java
@@ -61,7 +61,8 @@
         3.6,
         "img-front",
         1.2,
-        true);
+        true,
+        0);
   }
 
   public static void main(String[] args) throws Exception {
--- a/review/standins-2/review2/Checker.java
+++ b/review/standins-2/review2/Checker.java
@@ -7,7 +7,10 @@
 import java.util.Map;
 import java.util.Set;
 
-/** The rules ran_cancelled and ran_twice, judged by what machines run and users were told. */
+/**
+ * The rules ran_cancelled, ran_twice, not_done, went_back and forgotten, judged by what machines run
+ * and what users were told.
+ */
 final class Checker {
   private final Record record;
   private final long cancelMs;
@@ -16,6 +19,7 @@
   /** The machines that each task is on. */
   private final Map<String, Set<String>> machinesByTask = new HashMap<>();
 
+  private final Set<String> done = new LinkedHashSet<>();
   private final List<String> breaches = new ArrayList<>();
   private final Set<String> overdue = new LinkedHashSet<>();
 
@@ -57,6 +61,52 @@
     }
   }
 
+  /** A task has completed; its result is kept. */
+  synchronized void completed(String task) {
+    done.add(task);
+  }
+
+  synchronized boolean isCompleted(String task) {
+    return done.contains(task);
+  }
+
+  /** Judges an answer to a request that was sent at the given time. */
+  synchronized void answered(Job job, int status, String stance, long requestedMs) {
+    boolean denied = status == 404 || status == 400 || status == 422;
+    if (denied && job.acceptedMs >= 0 && requestedMs >= job.acceptedMs) {
+      breach("forgotten: " + job.uid + " gets " + status + " after it was accepted");
+    }
+    if (status != 200 && status != 201) {
+      return;
+    }
+    if (job.acceptedMs < 0) {
+      job.acceptedMs = record.nowMs();
+    }
+    if (job.finalStance != null
+        && requestedMs >= job.finalMs
+        && !stance.equals(job.finalStance)) {
+      breach("went_back: " + job.uid + " was " + job.finalStance + " and is called " + stance);
+    }
+    if (stance.equals("aborted") && !job.cancelRequested) {
+      breach("went_back: " + job.uid + " is called cancelled, which nobody asked for");
+    }
+    if (stance.equals("done")) {
+      for (int i = 0; i < job.tasks; i++) {
+        if (!done.contains(job.uid + "/" + i)) {
+          breach("not_done: " + job.uid + " is called done before task " + i);
+          break;
+        }
+      }
+    }
+    if (job.finalStance == null && (stance.equals("done") || stance.equals("aborted"))) {
+      job.finalMs = record.nowMs();
+      job.finalStance = stance;
+      if (stance.equals("aborted")) {
+        job.cancelledMs = record.nowMs();
+      }
+    }
+  }
+
   /** Looks for tasks that are on a machine too long after their cancellation. */
   synchronized void tick() {
     machinesByTask.forEach(
--- a/review/standins-2/review2/Controllers.java
+++ b/review/standins-2/review2/Controllers.java
@@ -94,6 +94,16 @@
     record.line("controller %s killed", name(number));
   }
 
+  /** Stops a process, or lets it continue. */
+  void signal(int number, String signal) throws IOException, InterruptedException {
+    Process process;
+    synchronized (processes) {
+      process = processes.get(number);
+    }
+    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    record.line("controller %s gets SIG%s", name(number), signal);
+  }
+
   boolean isAlive(int number) {
     synchronized (processes) {
       return processes.get(number) != null && processes.get(number).isAlive();
--- a/review/standins-2/review2/Job.java
+++ b/review/standins-2/review2/Job.java
@@ -15,8 +15,23 @@
   final String image;
   final double imageGb;
   final boolean scatter;
+
+  /** How long a task runs; 0 for a service. */
+  final long runMs;
+
   volatile boolean accepted;
 
+  /** When its user was first told that it is accepted; -1 for not yet. */
+  volatile long acceptedMs = -1;
+
+  volatile boolean cancelRequested;
+  volatile String lastStance = "";
+
+  /** The final state that its user was told, and when; null for none. */
+  volatile String finalStance;
+
+  volatile long finalMs;
+
   /** When its user was told that it is cancelled; -1 for not yet. */
   volatile long cancelledMs = -1;
 
@@ -31,7 +46,8 @@
       double ramGb,
       String image,
       double imageGb,
-      boolean scatter) {
+      boolean scatter,
+      long runMs) {
     this.uid = uid;
     this.jobClass = jobClass;
     this.team = team;
@@ -43,6 +59,7 @@
     this.image = image;
     this.imageGb = imageGb;
     this.scatter = scatter;
+    this.runMs = runMs;
   }
 
   String body() {
@@ -52,7 +69,7 @@
     node.put("Gpus", 0.0).put("RamGb", ramGb).put("Plumage", image).put("ImageGb", imageGb);
     node.putNull("Breeds").putNull("Shore");
     node.put("Together", false).put("Scatter", scatter).put("Driftwood", false);
-    node.put("ReckonS", guise.equals("standing") ? 0.0 : 600.0).put("MoultS", 0.0);
+    node.put("ReckonS", runMs / 1000.0).put("MoultS", 0.0);
     node.put("StowS", 0.0).putNull("DueS");
     return node.toString();
   }
--- a/review/standins-2/review2/Region.java
+++ b/review/standins-2/review2/Region.java
@@ -43,6 +43,9 @@
   /** The zone whose network to the other zone is interrupted; null for none. */
   volatile String cutOff;
 
+  /** The controllers whose packets to and from the state service are held back. */
+  final java.util.Set<Integer> withoutState = java.util.concurrent.ConcurrentHashMap.newKeySet();
+
   private volatile Worker.ReportListener listener = (worker, to, body) -> {};
 
   Region(Path recordFile, Settings settings) throws IOException {
@@ -93,7 +96,10 @@
       }
     }
     text.append("[endpoints]\ncloud = \"127.0.0.1:" + cloud.port() + "\"\n");
-    text.append("state = \"127.0.0.1:" + state.port() + "\"\n");
+    Link stateLink =
+        new Link(
+            state.port(), () -> withoutState.contains(self), "->state of " + self, record);
+    text.append("state = \"127.0.0.1:" + stateLink.port() + "\"\n");
     return text.append(settings.settingsTail()).toString();
   }
 
@@ -168,6 +174,10 @@
     return condition.getAsBoolean();
   }
 
+  State state() {
+    return state;
+  }
+
   boolean allHealthy() {
     for (int i = 0; i < controllers.size(); i++) {
       if (!controllers.isHealthy(i)) {
@@ -206,11 +216,14 @@
     checker.submitted(job);
     for (int i = 0; i < 30; i++) {
       int number = pick();
+      long sentMs = record.nowMs();
       Http.Response response =
           Http.once(controllers.publicPorts[number], "POST", "/v2/runs", job.body(), 5000);
       record.line(
           "user: submits %s to %s: %d %s",
           job.uid, controllers.name(number), response.status(), response.text());
+      String stance = stance(response);
+      checker.answered(job, response.status(), stance, sentMs);
       if (response.status() == 200 || response.status() == 201) {
         job.accepted = true;
         return true;
@@ -228,6 +241,8 @@
   boolean cancel(Job job) throws InterruptedException {
     for (int i = 0; i < 30; i++) {
       int number = pick();
+      long sentMs = record.nowMs();
+      job.cancelRequested = true;
       Http.Response response =
           Http.once(
               controllers.publicPorts[number], "POST", "/v2/runs/" + job.uid + "/abort", "{}", 5000);
@@ -235,16 +250,39 @@
           "user: cancels %s at %s: %d %s",
           job.uid, controllers.name(number), response.status(), response.text());
       if (response.status() == 200) {
-        if (response.text().contains("\"aborted\"") && job.cancelledMs < 0) {
-          job.cancelledMs = record.nowMs();
-        }
-        return response.text().contains("\"aborted\"");
+        checker.answered(job, 200, stance(response), sentMs);
+        return stance(response).equals("aborted");
       }
       Thread.sleep(1000);
     }
     return false;
   }
 
+  /** Asks a controller for a job's state; returns the status. */
+  int query(Job job, int number) {
+    long sentMs = record.nowMs();
+    Http.Response response =
+        Http.once(controllers.publicPorts[number], "GET", "/v2/runs/" + job.uid, null, 2000);
+    String stance = stance(response);
+    if (!stance.equals(job.lastStance) || response.status() != 200) {
+      job.lastStance = stance;
+      record.line(
+          "user: asks %s for %s, %d ms ago: %d %s",
+          controllers.name(number), job.uid, record.nowMs() - sentMs, response.status(),
+          response.text());
+    }
+    checker.answered(job, response.status(), stance, sentMs);
+    return response.status();
+  }
+
+  private static String stance(Http.Response response) {
+    try {
+      return Server.JSON.readTree(response.body()).path("Stance").asText();
+    } catch (IOException e) {
+      return "";
+    }
+  }
+
   private void end() {
     controllers.close();
     try (Stream<Path> files = Files.walk(directory)) {
--- a/review/standins-2/review2/State.java
+++ b/review/standins-2/review2/State.java
@@ -34,6 +34,7 @@
   private long ledger = 1;
   private long lastLease;
   private long dropped;
+  private volatile boolean isOut;
   private final Server server;
 
   State() throws IOException {
@@ -54,12 +55,22 @@
     ticker.start();
   }
 
+  /** Begins or ends an outage; after it every lease has its full time again. */
+  synchronized void setOut(boolean out) {
+    isOut = out;
+    leases.values().forEach(lease -> lease.endsNs = System.nanoTime() + lease.lifeMs * 1_000_000);
+    notifyAll();
+  }
+
   int port() {
     return server.port();
   }
 
   private Server.Answer handle(
       String method, String path, Map<String, String> query, JsonNode body) throws Exception {
+    if (isOut) {
+      return new Server.Answer(503, Server.object());
+    }
     if (path.startsWith("/keys/")) {
       return get(path.substring(6));
     } else if (path.equals("/keys")) {
@@ -198,10 +209,10 @@
         }
       }
       long leftMs = (endNs - System.nanoTime()) / 1_000_000;
-      if (changes.size() > 0 || leftMs <= 0) {
+      if (!isOut && (changes.size() > 0 || leftMs <= 0)) {
         return new Server.Answer(200, node);
       }
-      wait(leftMs);
+      wait(Math.max(10, leftMs));
     }
   }
 
@@ -232,6 +243,9 @@
   }
 
   private synchronized void endLeases() {
+    if (isOut) {
+      return;
+    }
     long nowNs = System.nanoTime();
     List<Long> ended = new ArrayList<>();
     leases.forEach(
--- a/review/standins-2/review2/Worker.java
+++ b/review/standins-2/review2/Worker.java
@@ -384,6 +384,18 @@
       task.stance = "running";
       checker.started(name, task.id, task.attempt);
       changed();
+      if (checker.isCompleted(task.id)) {
+        end(task, "done");
+      } else if (task.job.runMs > 0) {
+        timers.schedule(() -> complete(task), task.job.runMs, TimeUnit.MILLISECONDS);
+      }
+    }
+  }
+
+  private synchronized void complete(Task task) {
+    if (tasks.get(task.id + "#" + task.attempt) == task && task.stance.equals("running")) {
+      checker.completed(task.id);
+      end(task, "done");
     }
   }
 
