--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Builds the stand-ins of the second review into review/build/2, after the build of the deploy file.
+# Builds the stand-ins of the second review into review/standins-2/build, after the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
-rm -rf review/build/2
-mkdir -p review/build/2
-javac -nowarn -encoding UTF-8 -cp 'target/lib/*' -d review/build/2 review/standins-2/review2/*.java
+rm -rf review/standins-2/build
+mkdir -p review/standins-2/build
+javac -nowarn -encoding UTF-8 -cp 'target/lib/*' -d review/standins-2/build review/standins-2/review2/*.java
