--- a/review/standins-2/review2/Case4.java
+++ b/review/standins-2/review2/Case4.java
@@ -10,7 +10,7 @@
   private static final String TEAM = "kozaynek-sheberleri-00";
   private static final long PARTITION_MS = 35_000;
 
-  private static final String TAIL =
+  static final String TAIL =
       """
       [deployment]
       initial_size = 5
