Make workers reject held starts of cancelled jobs while a proxy answers

What callers saw: two zones can't reach each other for longer than cancel_s. A user submits a service and cancels it a second later, which is confirmed.

Cause: the leader's start was held in the network on an open connection. A node of the worker's own zone answered the worker as lease proxy, under the token that the worker reported, so that its incarnation and its highest token stayed those of the start. The leader counts on a higher token or a new incarnation to end an unanswered start; it could bring about neither.

Change: a lease proxy raises the token with its first answer to a worker and again at intervals (ProxyFencingTokens), by more than the leader's token may exceed the reported one when it sends a start (CommandBuilder). The leader adopts the token that a worker reports (CommandChannel.issueOrAdoptToken), or the worker would drop its answers. Leaders of earlier versions don't, so tokens are raised only once cluster version 5 is stored. The repeated raise covers a partition that ends and begins again, where the leader adopts the raised token and sends another start with it.

Why it works: a start sent before the first answer has a lower token than that answer; a later one has a lower token than the next raise, which comes within a third of cancel_s - lease_s, or the lease ends. The start is not lost: its reservation stays until the worker shows a token above it, and the leader sends it again.

--- a/src/main/java/eiderfork/controller/Controller.java
+++ b/src/main/java/eiderfork/controller/Controller.java
@@ -121,7 +121,7 @@
     cancellations = new CancellationTracker(context, this::onCancelled);
     peers = new PeerMonitor(context, election, cancellations, clusterVersion);
     election.setPeerReachability(peers);
-    leaseProxy = new LeaseProxy(context, store, election, peers, cancellations);
+    leaseProxy = new LeaseProxy(context, store, election, peers, cancellations, clusterVersion);
 
     jobs = new JobRegistry(context, store, election, clusterVersion);
     fleet = new MachineRegistry(context, jobs);
--- a/src/main/java/eiderfork/controller/cluster/ClusterVersion.java
+++ b/src/main/java/eiderfork/controller/cluster/ClusterVersion.java
@@ -11,6 +11,7 @@
 import eiderfork.model.StoredRecord;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,8 +39,14 @@
   /** The first version that reads bitmap allocations. */
   public static final int BITMAP_ALLOCS = 4;
 
-  /** The version of this program, incremented for each format that the previous one can't read. */
-  public static final int CURRENT = BITMAP_ALLOCS;
+  /** The first version whose leaders adopt fencing tokens that lease proxies have raised. */
+  public static final int ADOPTED_TOKENS = 5;
+
+  /**
+   * The version of this program, incremented for each format that the previous one can't read and
+   * for each message that it can't handle.
+   */
+  public static final int CURRENT = ADOPTED_TOKENS;
 
   private final ControllerContext context;
   private final StoreClient store;
@@ -114,8 +121,12 @@
     storedKeyVersion = Math.max(storedKeyVersion, keyVersion);
   }
 
-  /** Reads the stored version, for a node that has not proved the version itself. */
-  public void loadStored(Runnable onComplete) {
+  /**
+   * Reads the stored version, for a node that has not proved the version itself.
+   *
+   * @param onComplete receives whether the store has answered the read
+   */
+  public void loadStored(Consumer<Boolean> onComplete) {
     store.send(
         new StoreRequest.Get(StoreKeys.CLUSTER_VERSION),
         RequestPriority.SUBMIT,
@@ -124,7 +135,7 @@
               && value.record() instanceof StoredRecord.StoredVersion record) {
             recordStored(record, value.version());
           }
-          onComplete.run();
+          onComplete.accept(reply instanceof Reply.Value);
         });
   }
 
@@ -153,7 +164,7 @@
             LOG.info("cluster-version-committed version={}", CURRENT);
             recordStored(record, committed.revision());
           } else if (reply instanceof Reply.Conflict) {
-            loadStored(() -> {});
+            loadStored(isRead -> {});
           }
         });
   }
--- a/src/main/java/eiderfork/controller/registry/CommandChannel.java
+++ b/src/main/java/eiderfork/controller/registry/CommandChannel.java
@@ -27,11 +27,16 @@
     return fencingToken;
   }
 
-  /** Issues the worker's first token of the term unless it already has one. */
-  public void issueFirstToken(long firstToken) {
+  /**
+   * Issues the worker's first token of the term unless it already has one, and adopts the token
+   * that it reports: a lease proxy may have raised it, and the worker drops answers with a lower
+   * one.
+   */
+  public void issueOrAdoptToken(long firstToken, long reportedToken) {
     if (fencingToken == 0) {
       fencingToken = firstToken;
     }
+    fencingToken = Math.max(fencingToken, reportedToken);
   }
 
   /** Raises the token to at least {@code minToken}. */
--- a/src/main/java/eiderfork/controller/workers/CommandBuilder.java
+++ b/src/main/java/eiderfork/controller/workers/CommandBuilder.java
@@ -75,7 +75,7 @@
     if (commands.stream().anyMatch(WorkerCommand.Clear.class::isInstance)) {
       machine.commandChannel().invalidateDirectStarts();
     }
-    if (liveness.isSchedulable(machine)) {
+    if (liveness.isSchedulable(machine) && canProxyInvalidateStarts(machine)) {
       addStarts(machine, commands);
     }
     machine.commandChannel().clearCommandDue();
@@ -159,6 +159,15 @@
         && reservation.isSaveOverdue(context.nowMs(), CHECKPOINT_MARGIN_STEPS * context.stepMs());
   }
 
+  /**
+   * Returns whether a lease proxy that raises the token which the worker has reported would make it
+   * reject a start that is sent now.
+   */
+  private static boolean canProxyInvalidateStarts(MachineState machine) {
+    long lead = machine.commandChannel().fencingToken() - machine.lastHeartbeat().fencingToken();
+    return lead < ProxyFencingTokens.INCREMENT;
+  }
+
   private void addStarts(MachineState machine, List<WorkerCommand> commands) {
     for (Reservation reservation : machine.reservations()) {
       if (reservation.canStart() && !reservation.job().isCancelling()) {
--- a/src/main/java/eiderfork/controller/workers/DirectCommandSender.java
+++ b/src/main/java/eiderfork/controller/workers/DirectCommandSender.java
@@ -173,7 +173,7 @@
       return;
     }
     heartbeatRecorder.record(machine, reply.heartbeat(), true);
-    machine.commandChannel().issueFirstToken(election.firstFencingToken() + 1);
+    machine.commandChannel().issueOrAdoptToken(election.firstFencingToken() + 1, reportedToken);
     if (!reply.executed()) {
       machine.requestCommand();
     }
--- a/src/main/java/eiderfork/controller/workers/LeaseProxy.java
+++ b/src/main/java/eiderfork/controller/workers/LeaseProxy.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.controller.cluster.CancellationTracker;
+import eiderfork.controller.cluster.ClusterVersion;
 import eiderfork.controller.cluster.PeerMonitor;
 import eiderfork.controller.context.ControllerContext;
 import eiderfork.controller.election.LeaderElection;
@@ -18,13 +19,14 @@
  * Renews the leases of workers that cannot reach the leader, as long as this node can reach the
  * store. This keeps a network partition between two zones from ending the tasks in one of them.
  *
- * <p>A lease proxy renews a lease under the fencing token that the worker reports, and sends no
- * commands except stops of cancelled jobs. Before it answers a worker, it commits a record that
- * names the machine to the store, under a store lease that outlasts every worker lease that the
- * proxy renews ({@link LeaseProxyRecords}). The leader treats a worker lease as expired only if a
- * read sent after the expiry shows no such record for the machine. So either the leader sees the
- * record, or the proxy first answers the worker after the expiry, and then renews the lease of an
- * incarnation that has lost all earlier tasks.
+ * <p>A lease proxy renews a lease under a fencing token of the same term that makes the worker
+ * reject starts which the leader sent before ({@link ProxyFencingTokens}), and sends no commands
+ * except stops of cancelled jobs. Before it answers a worker, it commits a record that names the
+ * machine to the store, under a store lease that outlasts every worker lease that the proxy renews
+ * ({@link LeaseProxyRecords}). The leader treats a worker lease as expired only if a read sent
+ * after the expiry shows no such record for the machine. So either the leader sees the record, or
+ * the proxy first answers the worker after the expiry, and then renews the lease of an incarnation
+ * that has lost all earlier tasks.
  */
 public final class LeaseProxy {
   private static final Logger LOG = LoggerFactory.getLogger(LeaseProxy.class);
@@ -35,6 +37,7 @@
   private final CancellationTracker cancellations;
   private final LeaseProxyRecords records;
   private final CancellationWatcher cancellationWatcher;
+  private final ProxyFencingTokens tokens;
 
   /** The time at which each worker was last redirected from here to the leader. */
   private final Map<String, Long> redirectedMs = new HashMap<>();
@@ -48,13 +51,15 @@
       StoreClient store,
       LeaderElection election,
       PeerMonitor peers,
-      CancellationTracker cancellations) {
+      CancellationTracker cancellations,
+      ClusterVersion version) {
     this.context = context;
     this.election = election;
     this.peers = peers;
     this.cancellations = cancellations;
     records = new LeaseProxyRecords(context, store);
     cancellationWatcher = new CancellationWatcher(context, store, cancellations);
+    tokens = new ProxyFencingTokens(context, version);
   }
 
   /**
@@ -118,7 +123,8 @@
 
   /**
    * Returns whether a worker for which {@link #prepareToAnswer} returned true may be answered now:
-   * its record is committed and outlasts the renewed lease, and the cancellations are current.
+   * its record is committed and outlasts the renewed lease, the cancellations are current, and
+   * there is a token for the answer.
    */
   boolean canAnswerNow(Heartbeat heartbeat) {
     long leaseEndMs =
@@ -127,18 +133,19 @@
             + context.stepMs() / 2;
     return records.isRecorded(heartbeat.machine().name())
         && records.isValidUntil(leaseEndMs)
-        && cancellations.mayRenewLeases();
+        && cancellations.mayRenewLeases()
+        && tokens.hasTokenFor(heartbeat);
   }
 
   /**
-   * Renews the worker's lease under the fencing token that it reports, and stops its tasks of
-   * cancelled jobs.
+   * Renews the worker's lease under a token that is not lower than the one that it reports, and
+   * stops its tasks of cancelled jobs.
    */
   void answer(long ticket, Heartbeat heartbeat) {
     lastAnswerMs = context.nowMs();
     ImmutableList<WorkerCommand> stops =
         CommandBuilder.stopsOfCancelledJobs(heartbeat.tasks(), cancellations);
-    context.emit(new Effect.RespondToWorker(ticket, heartbeat.fencingToken(), stops));
+    context.emit(new Effect.RespondToWorker(ticket, tokens.next(heartbeat), stops));
   }
 
   /** Records that a worker was redirected to the leader. */
@@ -168,6 +175,7 @@
     active = false;
     cancellationWatcher.stop();
     records.reset();
+    tokens.reset();
   }
 
   /** Keeps the records and the cancellations current, and stops the proxy if no worker needs it. */
@@ -185,6 +193,7 @@
       return;
     }
     records.tick();
+    tokens.tick();
   }
 
   /** Returns whether every worker lease that this node renewed has expired. */
--- a/src/main/java/eiderfork/controller/workers/WorkerCommander.java
+++ b/src/main/java/eiderfork/controller/workers/WorkerCommander.java
@@ -105,7 +105,7 @@
     MachineState machine = fleet.getOrRegister(heartbeat.machine());
     CommandChannel channel = machine.commandChannel();
     boolean isNewest = heartbeatRecorder.record(machine, heartbeat, false);
-    channel.issueFirstToken(election.firstFencingToken() + 1);
+    channel.issueOrAdoptToken(election.firstFencingToken() + 1, heartbeat.fencingToken());
     fleet.renewLease(machine);
     heartbeatRecorder.invalidateSkippedSearches(machine);
     ImmutableList<WorkerCommand> commands = ImmutableList.of();
--- a/src/test/java/eiderfork/controller/FakeNetwork.java
+++ b/src/test/java/eiderfork/controller/FakeNetwork.java
@@ -25,6 +25,12 @@
     if (cluster.isCut(from, to) || cluster.random.nextDouble() < cluster.lossProbability) {
       return -1;
     }
+    SimulatedCluster.Interruption interruption = cluster.interruptions.get(from + ">" + to);
+    if (interruption != null) {
+      boolean isLost = interruption.isConnectionUsed;
+      interruption.isConnectionUsed = true;
+      return isLost ? -1 : interruption.endMs - cluster.nowMs;
+    }
     return cluster.random.nextDouble() < cluster.delayProbability
         ? 1 + cluster.random.nextLong(cluster.maxDelayMs)
         : 1 + cluster.random.nextLong(10);
@@ -244,17 +250,26 @@
 
   /** Partitions the two zones; both still reach the store, the cloud and the users. */
   void splitZones(long durationMs) {
+    forEachLinkBetweenZones(link -> cluster.cutLink(link, durationMs));
+  }
+
+  /** Partitions the two zones; what was sent on open connections arrives when they meet again. */
+  void interruptZones(long durationMs) {
+    forEachLinkBetweenZones(link -> cluster.interruptLink(link, durationMs));
+  }
+
+  private void forEachLinkBetweenZones(Consumer<String> action) {
     for (int i = 0; i < cluster.nodeCount; i++) {
       for (int j = 0; j < cluster.nodeCount; j++) {
         if (!TestFixtures.zone(i, cluster.nodeCount)
             .equals(TestFixtures.zone(j, cluster.nodeCount))) {
-          cluster.cutLink("roost-" + i + ">roost-" + j, durationMs);
+          action.accept("roost-" + i + ">roost-" + j);
         }
       }
       for (FakeWorker worker : cluster.workers()) {
         if (!worker.machine.zone().equals(TestFixtures.zone(i, cluster.nodeCount))) {
-          cluster.cutLink("roost-" + i + ">" + worker.machine.name(), durationMs);
-          cluster.cutLink(worker.machine.name() + ">roost-" + i, durationMs);
+          action.accept("roost-" + i + ">" + worker.machine.name());
+          action.accept(worker.machine.name() + ">roost-" + i);
         }
       }
     }
--- /dev/null
+++ b/src/test/java/eiderfork/controller/HeldStartTest.java
@@ -0,0 +1,87 @@
+package eiderfork.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import eiderfork.model.Job;
+import eiderfork.model.JobKind;
+import eiderfork.model.JobStatus.Phase;
+import eiderfork.model.Priority;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * The network between two zones is interrupted for longer than the cancellation timeout and holds
+ * starts back. When it recovers, a worker must reject the starts of jobs that were cancelled
+ * meanwhile, although a lease proxy has renewed its lease all the time.
+ */
+class HeldStartTest {
+  private static final int INTERRUPTION_MS = 45_000;
+
+  private static LongStream seeds() {
+    return LongStream.rangeClosed(1, 12);
+  }
+
+  /** Returns a cluster of seven nodes in two zones whose machines keep their images. */
+  static SimulatedCluster newCluster(long seed) {
+    SimulatedCluster cluster = LeaseProxyTest.newCluster(seed);
+    cluster.cachesImages = true;
+    return cluster;
+  }
+
+  private static Job service(int number, int tasks, double gpus) {
+    return TestFixtures.job(
+        number, JobKind.SERVICE, tasks, gpus, "blue", Priority.HIGH, true, false);
+  }
+
+  /** Submits services spread over both zones and waits until all of their tasks run. */
+  static List<Job> runSpreadServices(SimulatedCluster cluster) {
+    List<Job> jobs = new ArrayList<>();
+    for (int i = 1; i <= 4; i++) {
+      jobs.add(service(i, 4, 1));
+    }
+    jobs.forEach(cluster::submit);
+    cluster.run(35);
+    jobs.forEach(job -> assertEquals(4, cluster.checker.runningTasks(job.uid()), job::uid));
+    return jobs;
+  }
+
+  /**
+   * Submits services at the beginning of an interruption and cancels them a second later.
+   *
+   * @return the cancelled services
+   */
+  static List<Job> cancelStartedServices(SimulatedCluster cluster, int firstNumber) {
+    List<Job> cancelled = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      // Without GPUs the tasks fit on machines that run others, whose leases are renewed.
+      Job job = service(firstNumber + i, 2, 0);
+      cancelled.add(job);
+      cluster.schedule(200 + i * 200L, () -> cluster.submit(job));
+      cluster.schedule(1500 + i * 200L, () -> cluster.cancel(job.uid()));
+    }
+    return cancelled;
+  }
+
+  /**
+   * A lease proxy renewed the lease under the token that the worker reported, so that a held start
+   * was executed more than {@code cancel_s} after its user was told that the job is cancelled.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void heldStartOfACancelledJobIsRejected(long seed) {
+    SimulatedCluster cluster = newCluster(seed);
+    List<Job> jobs = runSpreadServices(cluster);
+    int startsBefore = cluster.checker.startCount;
+    cluster.interruptZones(INTERRUPTION_MS);
+    List<Job> cancelled = cancelStartedServices(cluster, 11);
+    cluster.run(INTERRUPTION_MS / 1000.0 + 15);
+    assertEquals(List.of(), cluster.checker.violations);
+    cancelled.forEach(
+        job -> assertEquals(Phase.ABORTED, cluster.checker.finalPhase(job.uid()), job::uid));
+    jobs.forEach(job -> assertEquals(4, cluster.checker.runningTasks(job.uid()), job::uid));
+    ExpectedOutcome.assertAllJobsServed(cluster, jobs);
+  }
+}
--- a/src/test/java/eiderfork/controller/SimulatedCluster.java
+++ b/src/test/java/eiderfork/controller/SimulatedCluster.java
@@ -36,6 +36,16 @@
     }
   }
 
+  /** An interruption of a link, which may have held a message back already. */
+  static final class Interruption {
+    final long endMs;
+    boolean isConnectionUsed;
+
+    Interruption(long endMs) {
+      this.endMs = endMs;
+    }
+  }
+
   final Random random;
 
   final Settings settings;
@@ -67,6 +77,13 @@
    */
   final Set<String> oneWayCuts = new HashSet<>();
 
+  /**
+   * The links that are interrupted, as "from>to", with the time when each recovers. The first
+   * message is on an open connection and is held back until then. Its sender gives that connection
+   * up, and no other one can be opened, so that later messages are lost.
+   */
+  final Map<String, Interruption> interruptions = new HashMap<>();
+
   /** The time until which heartbeats are held back, by link as "from>to". */
   final Map<String, Long> heldUntilMs = new HashMap<>();
 
@@ -283,6 +300,13 @@
     schedule(durationMs, () -> cutLinks.remove(link));
   }
 
+  /** Holds back the next message of this link for this time, and drops those that follow it. */
+  void interruptLink(String link, long durationMs) {
+    Interruption interruption = new Interruption(nowMs + durationMs);
+    interruptions.put(link, interruption);
+    schedule(durationMs, () -> interruptions.remove(link, interruption));
+  }
+
   /** Holds back heartbeats of this machine until this time has passed. */
   void holdHeartbeats(String machine, long durationMs) {
     nodeNames().forEach(node -> heldUntilMs.put(machine + ">" + node, nowMs + durationMs));
@@ -358,6 +382,11 @@
     network.splitZones(durationMs);
   }
 
+  /** Partitions the two zones; what was sent on open connections arrives when they meet again. */
+  void interruptZones(long durationMs) {
+    network.interruptZones(durationMs);
+  }
+
   /** Delays heartbeats sent within the next second by this time. */
   void delayNextHeartbeats(long durationMs) {
     heartbeats.delayNext(durationMs);
@@ -376,6 +405,7 @@
     storeDelayMs = 0;
     cutLinks.clear();
     oneWayCuts.clear();
+    interruptions.clear();
     heldUntilMs.clear();
     storeAccess.refusedNodes.clear();
     frozenUntilMs.clear();
--- a/src/test/java/eiderfork/controller/WorkerReachabilityTest.java
+++ b/src/test/java/eiderfork/controller/WorkerReachabilityTest.java
@@ -41,7 +41,8 @@
   private final MachineRegistry fleet = new MachineRegistry(context, jobs);
   private final CancellationTracker cancellations = new CancellationTracker(context, uid -> {});
   private final PeerMonitor peers = new PeerMonitor(context, election, cancellations, version);
-  private final LeaseProxy proxy = new LeaseProxy(context, store, election, peers, cancellations);
+  private final LeaseProxy proxy =
+      new LeaseProxy(context, store, election, peers, cancellations, version);
   private final WorkerReachability reachability =
       new WorkerReachability(
           context, election, fleet, new MachineLiveness(context, election), peers, proxy);
