--- a/src/test/java/eiderfork/controller/HeldStartTest.java
+++ b/src/test/java/eiderfork/controller/HeldStartTest.java
@@ -10,7 +10,9 @@
 import java.util.List;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * The network between two zones is interrupted for longer than the cancellation timeout and holds
@@ -74,7 +76,6 @@
   void heldStartOfACancelledJobIsRejected(long seed) {
     SimulatedCluster cluster = newCluster(seed);
     List<Job> jobs = runSpreadServices(cluster);
-    int startsBefore = cluster.checker.startCount;
     cluster.interruptZones(INTERRUPTION_MS);
     List<Job> cancelled = cancelStartedServices(cluster, 11);
     cluster.run(INTERRUPTION_MS / 1000.0 + 15);
@@ -84,4 +85,53 @@
     jobs.forEach(job -> assertEquals(4, cluster.checker.runningTasks(job.uid()), job::uid));
     ExpectedOutcome.assertAllJobsServed(cluster, jobs);
   }
+
+  /**
+   * The interruption ends for a moment, in which the leader adopts the raised tokens, and begins
+   * again. A start that is sent with an adopted token must be rejected at the end, too.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {60, 150, 300, 500, 700, 900, 1200, 1600, 2000, 3000, 5000, 8000})
+  void heldStartSentBetweenTwoInterruptionsIsRejected(int gapMs) {
+    SimulatedCluster cluster = newCluster(gapMs);
+    List<Job> jobs = runSpreadServices(cluster);
+    cluster.interruptZones(20_000);
+    cluster.schedule(20_000 + gapMs, () -> cluster.interruptZones(INTERRUPTION_MS));
+    cluster.run(19);
+    List<Job> cancelled = cancelStartedServices(cluster, 11);
+    cluster.schedule(1000, () -> cancelled.addAll(cancelStartedServices(cluster, 21)));
+    cluster.schedule(gapMs, () -> cancelled.addAll(cancelStartedServices(cluster, 31)));
+    cluster.run((gapMs + INTERRUPTION_MS) / 1000.0 + 20);
+    assertEquals(12, cancelled.size());
+    assertEquals(List.of(), cluster.checker.violations);
+    jobs.addAll(cancelled);
+    ExpectedOutcome.assertAllJobsServed(cluster, jobs);
+  }
+
+  /** All proxies, or all nodes, are restarted during the interruption and know no token given. */
+  @ParameterizedTest
+  @CsvSource({"6000,false", "9000,false", "20000,false", "6000,true", "9000,true", "20000,true"})
+  void heldStartIsRejectedAfterARestartOfProxiesOrLeader(int delayMs, boolean isLeaderRestarted) {
+    SimulatedCluster cluster = newCluster(delayMs);
+    List<Job> jobs = runSpreadServices(cluster);
+    String leaderZone = zoneOf(cluster.leader());
+    cluster.interruptZones(INTERRUPTION_MS);
+    List<Job> cancelled = cancelStartedServices(cluster, 11);
+    cluster.schedule(
+        delayMs,
+        () -> {
+          for (String node : cluster.nodeNames()) {
+            if (isLeaderRestarted || !zoneOf(node).equals(leaderZone)) {
+              cluster.crashNode(node, 2000);
+            }
+          }
+        });
+    cluster.run(INTERRUPTION_MS / 1000.0 + 15);
+    jobs.addAll(cancelled);
+    ExpectedOutcome.assertAllJobsServed(cluster, jobs);
+  }
+
+  private static String zoneOf(String node) {
+    return TestFixtures.zone(node.charAt(node.length() - 1) - '0', 7);
+  }
 }
--- a/src/test/java/eiderfork/controller/WorkerCommanderTest.java
+++ b/src/test/java/eiderfork/controller/WorkerCommanderTest.java
@@ -47,6 +47,50 @@
         sendHeartbeat(INCARNATION, 3, firstToken));
   }
 
+  /** Sends a heartbeat and returns the fencing token of the response. */
+  private long tokenInResponseTo(long sequenceNumber, long fencingToken) {
+    context.drainEffects();
+    commander.handleHeartbeat(1, heartbeat(INCARNATION, sequenceNumber, fencingToken));
+    return drainEffects(Effect.RespondToWorker.class).get(0).fencingToken();
+  }
+
+  /** A worker whose token a lease proxy has raised drops responses with a lower one. */
+  @Test
+  void tokenRaisedByALeaseProxyIsAdopted() {
+    assertEquals(firstToken + 40, tokenInResponseTo(2, firstToken + 40));
+    assertEquals(firstToken + 40, tokenInResponseTo(3, firstToken));
+    assertEquals(firstToken + 80, tokenInResponseTo(1, firstToken + 80), "an old heartbeat");
+  }
+
+  /** The worker rejects a direct start, since a lease proxy has raised its token meanwhile. */
+  @Test
+  void rejectedStartIsSentAgainWithTheAdoptedToken() {
+    Reservation task = reserveTask();
+    machine.requestCommand();
+    commander.tick();
+    Effect.SendCommands rejected = drainEffects(Effect.SendCommands.class).get(0);
+    assertEquals(List.of(new WorkerCommand.Run(task.toAttempt())), rejected.commands());
+    context.completeCall(
+        rejected.callId(),
+        new Reply.WorkerReply(false, heartbeat(INCARNATION, 2, firstToken + 16)));
+    commander.tick();
+    Effect.SendCommands repeated = drainEffects(Effect.SendCommands.class).get(0);
+    assertEquals(rejected.commands(), repeated.commands());
+    assertEquals(firstToken + 16, repeated.fencingToken());
+    assertTrue(task.isCommitted(), "settled although the task may start");
+  }
+
+  /** A lease proxy raises the reported token by 16; a start with a higher one would stay valid. */
+  @Test
+  void noStartIsSentUnderATokenThatALeaseProxyWouldNotExceed() {
+    Reservation task = reserveTask();
+    machine.commandChannel().raiseTokenTo(firstToken + 16);
+    assertEquals(List.of(), sendHeartbeat(INCARNATION, 2, firstToken));
+    assertEquals(
+        List.of(new WorkerCommand.Run(task.toAttempt())),
+        sendHeartbeat(INCARNATION, 3, firstToken + 1));
+  }
+
   /** Most heartbeats report the same tasks as the previous one; memory holds the list only once. */
   @Test
   void unchangedTasksOnlyRenewTheLease() {
