Send no direct start that a proxy of an earlier version would keep valid

Cause: tokens are raised by the proxy, and a proxy of an earlier version raises none.

Change: until the stored cluster version says that every member raises tokens, a leader sends starts for machines of a zone where another zone's proxy may stand in only in responses to heartbeats. Workers drop responses that are late, so none is carried out late. Such a start waits for the next heartbeat, half an interval on average, while the upgrade lasts.

--- a/src/main/java/eiderfork/controller/Controller.java
+++ b/src/main/java/eiderfork/controller/Controller.java
@@ -194,6 +194,7 @@
         liveness,
         leaseExpiry,
         leaseLog,
+        clusterVersion,
         roundTrigger::request);
   }
 
--- a/src/main/java/eiderfork/controller/workers/DirectCommandSender.java
+++ b/src/main/java/eiderfork/controller/workers/DirectCommandSender.java
@@ -118,15 +118,15 @@
   }
 
   /**
-   * Sends the commands that cannot wait for the next heartbeat, which are all except clears. If
-   * there are none, a raised fencing token is still sent.
+   * Sends the commands that cannot wait for the next heartbeat, which are all except clears and
+   * starts that may not be sent directly. If there are none, a raised fencing token is still sent.
    */
   private void sendCommands(MachineState machine) {
     boolean isTokenRaised =
         machine.commandChannel().fencingToken() > machine.lastHeartbeat().fencingToken();
     ImmutableList<WorkerCommand> urgent =
         commandBuilder.build(machine).stream()
-            .filter(command -> !(command instanceof WorkerCommand.Clear))
+            .filter(command -> isSentDirectly(command, machine))
             .collect(ImmutableList.toImmutableList());
     if (urgent.isEmpty() && !isTokenRaised) {
       return;
@@ -137,6 +137,11 @@
     send(machine, urgent);
   }
 
+  private boolean isSentDirectly(WorkerCommand command, MachineState machine) {
+    return !(command instanceof WorkerCommand.Clear)
+        && (!(command instanceof WorkerCommand.Run) || permission.canStartDirectly(machine));
+  }
+
   private void send(MachineState machine, ImmutableList<WorkerCommand> commands) {
     machine.commandChannel().onDirectCommandSent();
     leaseLog.logCommandsSent(machine, commands, true);
--- a/src/main/java/eiderfork/controller/workers/WorkerCommander.java
+++ b/src/main/java/eiderfork/controller/workers/WorkerCommander.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import eiderfork.controller.cluster.CancellationTracker;
+import eiderfork.controller.cluster.ClusterVersion;
 import eiderfork.controller.context.ControllerContext;
 import eiderfork.controller.election.LeaderElection;
 import eiderfork.controller.message.Effect;
@@ -45,6 +46,7 @@
       MachineLiveness liveness,
       LeaseExpiry leaseExpiry,
       WorkerLeaseLog leaseLog,
+      ClusterVersion version,
       Runnable requestRound) {
     this.context = context;
     this.election = election;
@@ -52,7 +54,7 @@
     this.fleet = fleet;
     this.leaseExpiry = leaseExpiry;
     this.leaseLog = leaseLog;
-    permission = new CommandPermission(election);
+    permission = new CommandPermission(context, election, version);
     reconciler = new ReservationReconciler(context, election, jobs, fleet, requestRound);
     commandBuilder = new CommandBuilder(context, jobs, cancellations, liveness, reconciler);
     heartbeatRecorder =
--- a/src/test/java/eiderfork/controller/ControllerTest.java
+++ b/src/test/java/eiderfork/controller/ControllerTest.java
@@ -143,6 +143,7 @@
             liveness,
             leaseExpiry,
             leaseLog,
+            version,
             () -> {});
     for (int i = 0; i < 100; i++) {
       fleet.getOrRegister(new Machine("n-" + i, "n-" + i + ":1", "g4", "a", false));
--- a/src/test/java/eiderfork/controller/HeldStartTest.java
+++ b/src/test/java/eiderfork/controller/HeldStartTest.java
@@ -1,13 +1,17 @@
 package eiderfork.controller;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import eiderfork.controller.cluster.ClusterVersion;
 import eiderfork.model.Job;
 import eiderfork.model.JobKind;
 import eiderfork.model.JobStatus.Phase;
 import eiderfork.model.Priority;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,6 +26,9 @@
 class HeldStartTest {
   private static final int INTERRUPTION_MS = 45_000;
 
+  /** A limit on elections until a node of the wanted zone leads. */
+  private static final int MAX_ELECTIONS = 10;
+
   private static LongStream seeds() {
     return LongStream.rangeClosed(1, 12);
   }
@@ -134,4 +141,69 @@
   private static String zoneOf(String node) {
     return TestFixtures.zone(node.charAt(node.length() - 1) - '0', 7);
   }
+
+  /**
+   * The proxies run the version before and renew leases under the reported token. The leader, which
+   * runs the current one, must not send a start that may be held back until then.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noStartIsHeldBackWhileProxiesRunTheVersionBefore(long seed) {
+    SimulatedCluster cluster = newMixedCluster(seed, "b", "a");
+    List<Job> jobs = runSpreadServices(cluster);
+    cluster.interruptZones(INTERRUPTION_MS);
+    jobs.addAll(cancelStartedServices(cluster, 11));
+    cluster.run(INTERRUPTION_MS / 1000.0 + 15);
+    ExpectedOutcome.assertAllJobsServed(cluster, jobs);
+  }
+
+  /**
+   * A leader of the version before does not adopt a raised token, and the worker would drop its
+   * answers and lose its tasks. Proxies raise none before all nodes run the current version.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void proxiesRaiseNoTokenWhileALeaderOfTheVersionBeforeMayLead(long seed) {
+    SimulatedCluster cluster = newMixedCluster(seed, "a", "a");
+    List<Job> jobs = runSpreadServices(cluster);
+    Map<String, Long> incarnations = new HashMap<>();
+    cluster.workers().stream()
+        .filter(worker -> !worker.taskIds().isEmpty())
+        .forEach(worker -> incarnations.put(worker.machine.name(), worker.incarnation()));
+    long firstToken = cluster.workers().get(0).fencingToken;
+    cluster.interruptZones(INTERRUPTION_MS);
+    cluster.run(INTERRUPTION_MS / 1000.0 + 15);
+    for (FakeWorker worker : cluster.workers()) {
+      Long incarnation = incarnations.get(worker.machine.name());
+      if (incarnation != null) {
+        assertEquals(incarnation, worker.incarnation(), worker.machine.name());
+        // The leader raises a token by one for each command without a reply.
+        assertTrue(worker.fencingToken - firstToken < 10, "token " + worker.fencingToken);
+      }
+    }
+    ExpectedOutcome.assertAllJobsServed(cluster, jobs);
+  }
+
+  /**
+   * Returns a cluster in which the nodes of one zone run the version before the current one, and
+   * which is led by a node of {@code leaderZone}.
+   */
+  private static SimulatedCluster newMixedCluster(
+      long seed, String olderVersionZone, String leaderZone) {
+    SimulatedCluster cluster = newCluster(seed);
+    cluster.olderVersion = ClusterVersion.CURRENT - 1;
+    for (String node : cluster.nodeNames()) {
+      if (zoneOf(node).equals(olderVersionZone)) {
+        cluster.olderVersionNodes.add(node);
+        cluster.startNode(node);
+      }
+    }
+    cluster.run(5);
+    for (int i = 0; i < MAX_ELECTIONS && !zoneOf(cluster.leader()).equals(leaderZone); i++) {
+      cluster.crashNode(cluster.leader(), 6000);
+      cluster.run(12);
+    }
+    assertEquals(leaderZone, zoneOf(cluster.leader()));
+    return cluster;
+  }
 }
--- a/src/test/java/eiderfork/controller/LeaderAndWorkerFixture.java
+++ b/src/test/java/eiderfork/controller/LeaderAndWorkerFixture.java
@@ -89,6 +89,7 @@
             liveness,
             leaseExpiry,
             leaseLog,
+            version,
             () -> {});
   }
 
