Tests: nodes of a zone and spread services in one place

The index arithmetic for a node's zone stood in LeaseProxyTest twice and in HeldStartTest once more, and the services spread over both zones in both. SimulatedCluster now names a node's zone and the nodes of a zone; LeaseProxyTest.runSpreadServices serves all three classes. No check changes.

--- a/src/test/java/eiderfork/controller/HeldStartHistoryTest.java
+++ b/src/test/java/eiderfork/controller/HeldStartHistoryTest.java
@@ -47,7 +47,7 @@
   @MethodSource("seeds")
   void noViolationsWhileCommandsAreHeldBack(long seed) {
     SimulatedCluster cluster = newCluster(seed);
-    List<Job> jobs = new ArrayList<>(HeldStartTest.runSpreadServices(cluster));
+    List<Job> jobs = new ArrayList<>(LeaseProxyTest.runSpreadServices(cluster, 4));
     Random script = new Random(seed * 47);
     interruptZonesRepeatedly(cluster, script);
     submitAndCancelJobs(cluster, script, jobs);
--- a/src/test/java/eiderfork/controller/HeldStartTest.java
+++ b/src/test/java/eiderfork/controller/HeldStartTest.java
@@ -40,21 +40,9 @@
     return cluster;
   }
 
-  private static Job service(int number, int tasks, double gpus) {
-    return TestFixtures.job(
-        number, JobKind.SERVICE, tasks, gpus, "blue", Priority.HIGH, true, false);
-  }
-
-  /** Submits services spread over both zones and waits until all of their tasks run. */
-  static List<Job> runSpreadServices(SimulatedCluster cluster) {
-    List<Job> jobs = new ArrayList<>();
-    for (int i = 1; i <= 4; i++) {
-      jobs.add(service(i, 4, 1));
-    }
-    jobs.forEach(cluster::submit);
-    cluster.run(35);
-    jobs.forEach(job -> assertEquals(4, cluster.checker.runningTasks(job.uid()), job::uid));
-    return jobs;
+  /** Returns a service without GPUs, whose tasks fit on machines that run others. */
+  private static Job serviceWithoutGpus(int number) {
+    return TestFixtures.job(number, JobKind.SERVICE, 2, 0, "blue", Priority.HIGH, true, false);
   }
 
   /**
@@ -65,8 +53,7 @@
   static List<Job> cancelStartedServices(SimulatedCluster cluster, int firstNumber) {
     List<Job> cancelled = new ArrayList<>();
     for (int i = 0; i < 4; i++) {
-      // Without GPUs the tasks fit on machines that run others, whose leases are renewed.
-      Job job = service(firstNumber + i, 2, 0);
+      Job job = serviceWithoutGpus(firstNumber + i);
       cancelled.add(job);
       cluster.schedule(200 + i * 200L, () -> cluster.submit(job));
       cluster.schedule(1500 + i * 200L, () -> cluster.cancel(job.uid()));
@@ -82,7 +69,7 @@
   @MethodSource("seeds")
   void heldStartOfACancelledJobIsRejected(long seed) {
     SimulatedCluster cluster = newCluster(seed);
-    List<Job> jobs = runSpreadServices(cluster);
+    List<Job> jobs = LeaseProxyTest.runSpreadServices(cluster, 4);
     cluster.interruptZones(INTERRUPTION_MS);
     List<Job> cancelled = cancelStartedServices(cluster, 11);
     cluster.run(INTERRUPTION_MS / 1000.0 + 15);
@@ -101,7 +88,7 @@
   @ValueSource(ints = {60, 150, 300, 500, 700, 900, 1200, 1600, 2000, 3000, 5000, 8000})
   void heldStartSentBetweenTwoInterruptionsIsRejected(int gapMs) {
     SimulatedCluster cluster = newCluster(gapMs);
-    List<Job> jobs = runSpreadServices(cluster);
+    List<Job> jobs = LeaseProxyTest.runSpreadServices(cluster, 4);
     cluster.interruptZones(20_000);
     cluster.schedule(20_000 + gapMs, () -> cluster.interruptZones(INTERRUPTION_MS));
     cluster.run(19);
@@ -120,15 +107,15 @@
   @CsvSource({"6000,false", "9000,false", "20000,false", "6000,true", "9000,true", "20000,true"})
   void heldStartIsRejectedAfterARestartOfProxiesOrLeader(int delayMs, boolean isLeaderRestarted) {
     SimulatedCluster cluster = newCluster(delayMs);
-    List<Job> jobs = runSpreadServices(cluster);
-    String leaderZone = zoneOf(cluster.leader());
+    List<Job> jobs = LeaseProxyTest.runSpreadServices(cluster, 4);
+    String leaderZone = cluster.zoneOf(cluster.leader());
     cluster.interruptZones(INTERRUPTION_MS);
     List<Job> cancelled = cancelStartedServices(cluster, 11);
     cluster.schedule(
         delayMs,
         () -> {
           for (String node : cluster.nodeNames()) {
-            if (isLeaderRestarted || !zoneOf(node).equals(leaderZone)) {
+            if (isLeaderRestarted || !cluster.zoneOf(node).equals(leaderZone)) {
               cluster.crashNode(node, 2000);
             }
           }
@@ -138,10 +125,6 @@
     ExpectedOutcome.assertAllJobsServed(cluster, jobs);
   }
 
-  private static String zoneOf(String node) {
-    return TestFixtures.zone(node.charAt(node.length() - 1) - '0', 7);
-  }
-
   /**
    * The proxies run the version before and renew leases under the reported token. The leader, which
    * runs the current one, must not send a start that may be held back until then.
@@ -150,7 +133,7 @@
   @MethodSource("seeds")
   void noStartIsHeldBackWhileProxiesRunTheVersionBefore(long seed) {
     SimulatedCluster cluster = newMixedCluster(seed, "b", "a");
-    List<Job> jobs = runSpreadServices(cluster);
+    List<Job> jobs = LeaseProxyTest.runSpreadServices(cluster, 4);
     cluster.interruptZones(INTERRUPTION_MS);
     jobs.addAll(cancelStartedServices(cluster, 11));
     cluster.run(INTERRUPTION_MS / 1000.0 + 15);
@@ -165,7 +148,7 @@
   @MethodSource("seeds")
   void proxiesRaiseNoTokenWhileALeaderOfTheVersionBeforeMayLead(long seed) {
     SimulatedCluster cluster = newMixedCluster(seed, "a", "a");
-    List<Job> jobs = runSpreadServices(cluster);
+    List<Job> jobs = LeaseProxyTest.runSpreadServices(cluster, 4);
     Map<String, Long> incarnations = new HashMap<>();
     cluster.workers().stream()
         .filter(worker -> !worker.taskIds().isEmpty())
@@ -192,18 +175,18 @@
       long seed, String olderVersionZone, String leaderZone) {
     SimulatedCluster cluster = newCluster(seed);
     cluster.olderVersion = ClusterVersion.CURRENT - 1;
-    for (String node : cluster.nodeNames()) {
-      if (zoneOf(node).equals(olderVersionZone)) {
-        cluster.olderVersionNodes.add(node);
-        cluster.startNode(node);
-      }
+    for (String node : cluster.nodesIn(olderVersionZone)) {
+      cluster.olderVersionNodes.add(node);
+      cluster.startNode(node);
     }
     cluster.run(5);
-    for (int i = 0; i < MAX_ELECTIONS && !zoneOf(cluster.leader()).equals(leaderZone); i++) {
+    for (int i = 0;
+        i < MAX_ELECTIONS && !cluster.zoneOf(cluster.leader()).equals(leaderZone);
+        i++) {
       cluster.crashNode(cluster.leader(), 6000);
       cluster.run(12);
     }
-    assertEquals(leaderZone, zoneOf(cluster.leader()));
+    assertEquals(leaderZone, cluster.zoneOf(cluster.leader()));
     return cluster;
   }
 }
--- a/src/test/java/eiderfork/controller/LeaseProxyTest.java
+++ b/src/test/java/eiderfork/controller/LeaseProxyTest.java
@@ -32,7 +32,7 @@
   }
 
   /** Submits services spread over both zones and waits until all of their tasks run. */
-  private static List<Job> runSpreadServices(SimulatedCluster cluster, int count) {
+  static List<Job> runSpreadServices(SimulatedCluster cluster, int count) {
     List<Job> jobs = new ArrayList<>();
     for (int i = 1; i <= count; i++) {
       jobs.add(TestFixtures.job(i, JobKind.SERVICE, 4, 1, "blue", Priority.HIGH, true, false));
@@ -44,7 +44,7 @@
   }
 
   private static String otherZone(SimulatedCluster cluster) {
-    return (cluster.leader().charAt(6) - '0') % 2 == 0 ? "b" : "a";
+    return cluster.zoneOf(cluster.leader()).equals("a") ? "b" : "a";
   }
 
   private static FakeWorker workerWithTasksIn(SimulatedCluster cluster, String zone) {
@@ -246,19 +246,13 @@
     return jobs;
   }
 
-  private static List<String> nodesIn(SimulatedCluster cluster, String zone) {
-    return cluster.nodeNames().stream()
-        .filter(node -> zone.equals((node.charAt(6) - '0') % 2 == 0 ? "a" : "b"))
-        .toList();
-  }
-
   /** All nodes of the other zone are suspended until worker leases and records have expired. */
   @ParameterizedTest
   @ValueSource(ints = {0, 2000, 4000, 5000, 5500, 6000, 7000, 9000, 14_000, 20_000})
   void noViolationsWhenLeaseProxiesAreSuspended(int delayMs) {
     SimulatedCluster cluster = newCluster(6);
     List<Job> jobs = runSpreadServices(cluster, 4);
-    List<String> otherNodes = nodesIn(cluster, otherZone(cluster));
+    List<String> otherNodes = cluster.nodesIn(otherZone(cluster));
     cluster.splitZones(70_000);
     cluster.schedule(
         delayMs, () -> otherNodes.forEach(node -> cluster.freezeNode(node, 12_000 + delayMs)));
@@ -273,7 +267,7 @@
   void noViolationsWhenTheStoreRefusesLeaseProxies(int delayMs) {
     SimulatedCluster cluster = newCluster(8);
     List<Job> jobs = runSpreadServices(cluster, 4);
-    List<String> otherNodes = nodesIn(cluster, otherZone(cluster));
+    List<String> otherNodes = cluster.nodesIn(otherZone(cluster));
     cluster.splitZones(70_000);
     cluster.schedule(
         delayMs, () -> otherNodes.forEach(node -> cluster.refuseStoreRequests(node, 25_000)));
@@ -289,12 +283,12 @@
     SimulatedCluster cluster = newCluster(9);
     List<Job> jobs = runSpreadServices(cluster, 4);
     String otherZone = otherZone(cluster);
-    List<String> leaderZoneNodes = nodesIn(cluster, otherZone.equals("a") ? "b" : "a");
+    List<String> leaderZoneNodes = cluster.nodesIn(otherZone.equals("a") ? "b" : "a");
     cluster.splitZones(60_000);
     cluster.schedule(delayMs, () -> leaderZoneNodes.forEach(node -> cluster.crashNode(node, 6000)));
     cluster.schedule(
         delayMs + 15_000,
-        () -> nodesIn(cluster, otherZone).forEach(node -> cluster.crashNode(node, 6000)));
+        () -> cluster.nodesIn(otherZone).forEach(node -> cluster.crashNode(node, 6000)));
     cluster.schedule(delayMs + 2000, () -> cluster.cancel(jobs.get(0).uid()));
     cluster.run(120);
     ExpectedOutcome.assertAllJobsServed(cluster, jobs);
--- a/src/test/java/eiderfork/controller/SimulatedCluster.java
+++ b/src/test/java/eiderfork/controller/SimulatedCluster.java
@@ -160,6 +160,16 @@
     return java.util.stream.IntStream.range(0, nodeCount).mapToObj(i -> "roost-" + i).toList();
   }
 
+  /** Returns the zone of a node. */
+  String zoneOf(String node) {
+    return TestFixtures.zone(nodeNames().indexOf(node), nodeCount);
+  }
+
+  /** Returns the names of the nodes in this zone, running or not. */
+  List<String> nodesIn(String zone) {
+    return nodeNames().stream().filter(node -> zoneOf(node).equals(zone)).toList();
+  }
+
   SimulatedCluster(long seed, Settings settings, int nodeCount) {
     this.settings = settings;
     this.nodeCount = nodeCount;
