Read the stored version ahead of submissions in a lease proxy

Cause, by reading and by the test: a proxy answers no worker before it has read the stored cluster version, and that read had the priority of a submission. A node without a leader in reach looks submissions up itself; while these use up its request rate, the read waits and leases expire.

Change: the proxy's read has the priority of leases, like its records and the cancellations that it also waits for.

ProxyFencingTokensTest.versionIsReadAlthoughSubmissionsUseUpTheRequestRate failed before (no read was sent behind 1,000 lookups) and passes. HeldStartTest, LeaseProxyTest, RollingUpgradeTest, ClusterVersionTest pass.

--- a/src/main/java/eiderfork/controller/cluster/ClusterVersion.java
+++ b/src/main/java/eiderfork/controller/cluster/ClusterVersion.java
@@ -126,10 +126,10 @@
    *
    * @param onComplete receives whether the store has answered the read
    */
-  public void loadStored(Consumer<Boolean> onComplete) {
+  public void loadStored(RequestPriority priority, Consumer<Boolean> onComplete) {
     store.send(
         new StoreRequest.Get(StoreKeys.CLUSTER_VERSION),
-        RequestPriority.SUBMIT,
+        priority,
         reply -> {
           if (reply instanceof Reply.Value value
               && value.record() instanceof StoredRecord.StoredVersion record) {
@@ -164,7 +164,7 @@
             LOG.info("cluster-version-committed version={}", CURRENT);
             recordStored(record, committed.revision());
           } else if (reply instanceof Reply.Conflict) {
-            loadStored(isRead -> {});
+            loadStored(RequestPriority.SUBMIT, isRead -> {});
           }
         });
   }
--- a/src/main/java/eiderfork/controller/jobs/JobAdmission.java
+++ b/src/main/java/eiderfork/controller/jobs/JobAdmission.java
@@ -114,7 +114,7 @@
   /** Handles a submission of a job that memory does not hold. */
   void admitNew(Job job, Consumer<UserResponse> onComplete) {
     if (mustWaitForVersion(job)) {
-      version.loadStored(isRead -> admitIfVersionAllows(job, onComplete));
+      version.loadStored(RequestPriority.SUBMIT, isRead -> admitIfVersionAllows(job, onComplete));
     } else {
       validateAndStore(job, onComplete);
     }
--- a/src/main/java/eiderfork/controller/workers/ProxyFencingTokens.java
+++ b/src/main/java/eiderfork/controller/workers/ProxyFencingTokens.java
@@ -3,6 +3,7 @@
 import eiderfork.controller.cluster.ClusterVersion;
 import eiderfork.controller.context.ControllerContext;
 import eiderfork.controller.election.LeaderElection;
+import eiderfork.controller.store.RequestPriority;
 import eiderfork.model.Heartbeat;
 import java.util.HashMap;
 import java.util.Map;
@@ -105,7 +106,9 @@
     }
     nextVersionReadMs = context.nowMs() + context.stepMs();
     long requestGeneration = generation;
+    // Leases expire while this read is queued, as workers are not answered before.
     version.loadStored(
+        RequestPriority.LEASE,
         isRead -> {
           if (requestGeneration == generation && isRead) {
             onVersionRead();
--- a/src/test/java/eiderfork/controller/workers/ProxyFencingTokensTest.java
+++ b/src/test/java/eiderfork/controller/workers/ProxyFencingTokensTest.java
@@ -11,6 +11,8 @@
 import eiderfork.controller.election.LeaderElection;
 import eiderfork.controller.message.Effect;
 import eiderfork.controller.message.Reply;
+import eiderfork.controller.message.StoreRequest;
+import eiderfork.controller.store.RequestPriority;
 import eiderfork.controller.store.StoreClient;
 import eiderfork.model.Heartbeat;
 import eiderfork.model.Machine;
@@ -96,6 +98,20 @@
     assertTrue(tokens.next(heartbeat(REPORTED)) > REPORTED);
   }
 
+  /**
+   * Without a leader in reach, the node looks submissions up itself. A read of the version that was
+   * queued behind these lookups once kept the proxy from answering until leases had expired.
+   */
+  @Test
+  void versionIsReadAlthoughSubmissionsUseUpTheRequestRate() {
+    for (int i = 0; i < 1000; i++) {
+      store.send(new StoreRequest.Get("job/" + i), RequestPriority.SUBMIT, reply -> {});
+    }
+    context.drainEffects();
+    readVersion(VERSION_STORED);
+    assertTrue(tokens.hasTokenFor(heartbeat(REPORTED)));
+  }
+
   @Test
   void workersAreNotAnsweredWhileTheVersionCannotBeRead() {
     readVersion(new Reply.Unanswered());
